--- /dev/null
+++ b/packages/base/src/Units.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <ostream>
+
+namespace auburnmux::base {
+
+/**
+ * A whole number whose type carries its unit or meaning. Quantities of the
+ * same type add, subtract and compare; different types don't mix.
+ */
+template<typename Tag, typename Value = std::uint64_t>
+class Quantity
+{
+public:
+  using ValueType = Value;
+
+  constexpr Quantity() = default;
+  constexpr explicit Quantity(Value aCount)
+    : mCount(aCount)
+  {
+  }
+
+  /** \returns the plain number, in the unit that the type names. */
+  constexpr Value Count() const { return mCount; }
+
+  friend constexpr bool operator==(Quantity aLeft, Quantity aRight)
+  {
+    return aLeft.mCount == aRight.mCount;
+  }
+  friend constexpr bool operator!=(Quantity aLeft, Quantity aRight)
+  {
+    return aLeft.mCount != aRight.mCount;
+  }
+  friend constexpr bool operator<(Quantity aLeft, Quantity aRight)
+  {
+    return aLeft.mCount < aRight.mCount;
+  }
+  friend constexpr bool operator<=(Quantity aLeft, Quantity aRight)
+  {
+    return aLeft.mCount <= aRight.mCount;
+  }
+  friend constexpr bool operator>(Quantity aLeft, Quantity aRight)
+  {
+    return aLeft.mCount > aRight.mCount;
+  }
+  friend constexpr bool operator>=(Quantity aLeft, Quantity aRight)
+  {
+    return aLeft.mCount >= aRight.mCount;
+  }
+  friend constexpr Quantity operator+(Quantity aLeft, Quantity aRight)
+  {
+    return Quantity(aLeft.mCount + aRight.mCount);
+  }
+  friend constexpr Quantity operator-(Quantity aLeft, Quantity aRight)
+  {
+    return Quantity(aLeft.mCount - aRight.mCount);
+  }
+  Quantity& operator+=(Quantity aOther)
+  {
+    mCount += aOther.mCount;
+    return *this;
+  }
+  Quantity& operator-=(Quantity aOther)
+  {
+    mCount -= aOther.mCount;
+    return *this;
+  }
+  friend std::ostream& operator<<(std::ostream& aOut, Quantity aQuantity)
+  {
+    return aOut << aQuantity.mCount;
+  }
+
+private:
+  Value mCount{};
+};
+
+using ByteCount = Quantity<struct ByteCountTag>;
+/** Concurrent requests that an upstream runs. */
+using SlotCount = Quantity<struct SlotCountTag, std::uint32_t>;
+using ConnectionCount = Quantity<struct ConnectionCountTag, std::uint32_t>;
+/** Version of the published configuration; 0 means none. */
+using ConfigVersion = Quantity<struct ConfigVersionTag>;
+/** Start time of a host process in ms since the Unix epoch. */
+using Incarnation = Quantity<struct IncarnationTag>;
+/** Version of an object in the platform's object API; 0 means absent. */
+using ObjectVersion = Quantity<struct ObjectVersionTag>;
+using PortNumber = Quantity<struct PortNumberTag, std::uint16_t>;
+
+} // namespace auburnmux::base
+
+template<typename Tag, typename Value>
+struct std::hash<auburnmux::base::Quantity<Tag, Value>>
+{
+  std::size_t operator()(auburnmux::base::Quantity<Tag, Value> aValue) const
+  {
+    return std::hash<Value>{}(aValue.Count());
+  }
+};
--- /dev/null
+++ b/packages/base/test/support/Property.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+/**
+ * Checks a RapidCheck property inside a CppUTest test. RapidCheck prints the
+ * seed and the smallest counterexample on failure; RC_PARAMS sets the seed.
+ */
+#define CHECK_PROPERTY(aDescription, ...)                                      \
+  CHECK_TRUE_TEXT(rc::check(aDescription, __VA_ARGS__), aDescription)
