Add the messages between hosts and the claim records

Cause: the decision packages and the daemon need one definition of what hosts send one another and of what the platform keeps. Conclusion: later fields are added with new numbers.

--- /dev/null
+++ b/packages/protocol/Protocol.h
@@ -0,0 +1,4 @@
+#pragma once
+
+#include "protocol/generated/claims.pb.h"
+#include "protocol/generated/peer.pb.h"
