--- /dev/null
+++ b/packages/config/Config.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "config/src/ParseReport.h"
+
+#include "config/src/Endpoint.h"
+#include "config/src/HostSettings.h"
+
+#include "config/src/Route.h"
+#include "config/src/ServiceFile.h"
+#include "config/src/TopologyFile.h"
+#include "config/src/Upstream.h"
+
+#include "config/src/CrossChecks.h"
+#include "config/src/Snapshot.h"
+
+#include "config/src/ConfigState.h"
