--- a/packages/config/Config.h
+++ b/packages/config/Config.h
@@ -12,5 +12,10 @@
 
 #include "config/src/CrossChecks.h"
 #include "config/src/Snapshot.h"
+#include "config/src/SnapshotDiff.h"
+#include "config/src/VersionTag.h"
 
 #include "config/src/ConfigState.h"
+
+#include "config/src/CurrentPointer.h"
+#include "config/src/Publication.h"
--- a/packages/config/src/ConfigState.cpp
+++ b/packages/config/src/ConfigState.cpp
@@ -42,6 +42,7 @@
   mSnapshot = std::move(std::get<Snapshot>(decoded));
   mTag = tag;
   mBytes = aOffer.mBytes;
+  mPublishedAt = aOffer.mPublishedAt;
   mAcceptedAt = aNow;
   mIsConfirmed = false;
   if (isFromPlatform) {
--- a/packages/config/src/ConfigState.h
+++ b/packages/config/src/ConfigState.h
@@ -2,6 +2,7 @@
 
 #include "base/Base.h"
 #include "config/src/Snapshot.h"
+#include "config/src/VersionTag.h"
 
 #include <cstdint>
 #include <deque>
@@ -20,24 +21,14 @@
 };
 using OfferSource = std::variant<FromPlatform, FromPeer>;
 
-/** A version with its digest, as named by the platform or a peer. */
-struct VersionTag
-{
-  base::ConfigVersion mVersion;
-  Digest mDigest;
-
-  friend bool operator==(const VersionTag& aLeft, const VersionTag& aRight)
-  {
-    return aLeft.mVersion == aRight.mVersion && aLeft.mDigest == aRight.mDigest;
-  }
-};
-
 /** A snapshot that a peer or the platform sent. */
 struct SnapshotOffer
 {
   VersionTag mTag;
   std::string mBytes;
   OfferSource mSource;
+  /** When it was published, as the sender names it. */
+  base::WallTime mPublishedAt = {};
 };
 
 /** The offer is in force now. */
@@ -101,6 +92,9 @@
   /** \returns the encoded snapshot in force, to answer peers. */
   const std::string& Bytes() const { return mBytes; }
 
+  /** \returns when the snapshot in force was published. */
+  base::WallTime PublishedAt() const { return mPublishedAt; }
+
   /** \returns whether the platform has named the version in force. */
   bool IsConfirmed() const { return mIsConfirmed; }
   /** \returns the time since the version in force was accepted. */
@@ -118,6 +112,7 @@
   std::optional<Snapshot> mSnapshot;
   VersionTag mTag;
   std::string mBytes;
+  base::WallTime mPublishedAt;
   bool mIsConfirmed = false;
   base::TimePoint mAcceptedAt;
   base::TimePoint mConfirmedAt;
