Add peer transport, envelope checks and telemetry

Cause: hosts need authenticated one-way messages and the daemon needs metrics and spans. Ruled out: a REQ/REP pattern, because a lost reply blocks the socket; one ROUTER that is bound and one DEALER for each peer never wait. Change: packages/peer (ZeroMQ with CURVE, ZAP check of the fleet key, bounded queues), protocol::EnvelopeGuard (size, version, sender, rising sequence), packages/telemetry (Boost.Accumulators quantiles, Prometheus text, W3C trace context, span log).

--- /dev/null
+++ b/packages/peer/Peer.h
@@ -0,0 +1,5 @@
+#pragma once
+
+#include "peer/src/FleetKey.h"
+
+#include "peer/src/Transport.h"
--- /dev/null
+++ b/packages/telemetry/Telemetry.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include "telemetry/src/Quantiles.h"
+
+#include "telemetry/src/Metrics.h"
+
+#include "telemetry/src/TraceContext.h"
+
+#include "telemetry/src/SpanLog.h"
