--- /dev/null
+++ b/packages/balancing/src/PeakEwma.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "base/Base.h"
+
+namespace auburnmux::balancing {
+
+/**
+ * Latency estimate that takes a rise at once and fades with time. A lone
+ * sample far above the typical latency is a straggler and moves the estimate
+ * little; two in a row are taken as a rise.
+ */
+class PeakEwma
+{
+public:
+  /** \param aTypical the pool's typical latency; zero when there is none. */
+  void Add(base::TimePoint aNow, base::Duration aSample,
+           base::Duration aTypical, base::Duration aDecay);
+
+  /** \returns zero when there is no sample. */
+  base::Duration Estimate() const { return mEstimate; }
+  bool IsEmpty() const { return mEstimate.count() == 0; }
+  void Reset() { *this = PeakEwma(); }
+
+private:
+  base::Duration mEstimate{};
+  base::TimePoint mLast{};
+  bool mAfterOutlier = false;
+};
+
+} // namespace auburnmux::balancing
--- /dev/null
+++ b/packages/balancing/src/UpstreamStatus.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "base/Base.h"
+
+#include <cstdint>
+
+namespace auburnmux::balancing {
+
+/** What the requests say about an upstream. */
+enum class Condition : std::uint8_t
+{
+  Working,
+  Slow,        /**< Answers, far later than the others. */
+  Dead,        /**< Refuses new connections. */
+  Unreachable, /**< Connection attempts time out. */
+  Failing,     /**< Accepts work and fails it. */
+};
+
+/** Signals of one upstream at one time. */
+struct UpstreamStatus
+{
+  base::UpstreamId mId;
+  Condition mCondition = Condition::Working;
+  bool mLeaving = false;
+  bool mEjected = false;
+  base::SlotCount mInFlight;
+  /** Slots that this host may use now: share, limit and slow start. */
+  base::SlotCount mAllowed;
+  /** Peak EWMA of short work. */
+  base::Duration mLatency{};
+  double mCost = 0;
+};
+
+} // namespace auburnmux::balancing
--- a/packages/base/Base.h
+++ b/packages/base/Base.h
@@ -3,6 +3,8 @@
 #include "base/src/StrongId.h"
 #include "base/src/Units.h"
 
+#include "base/src/Work.h"
+
 #include "base/src/Time.h"
 
 #include "base/src/Random.h"
--- /dev/null
+++ b/packages/base/src/Work.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "base/src/Units.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace auburnmux::base {
+
+/** Short work (checks, approvals) and long work (uploads) never share a
+ * queue. */
+enum class WorkClass : std::uint8_t
+{
+  Short,
+  Long,
+};
+
+constexpr std::size_t kWorkClassCount = 2;
+
+/** \returns the position of \a aClass in an array with one item per class. */
+constexpr std::size_t ClassIndex(WorkClass aClass)
+{
+  return static_cast<std::size_t>(aClass);
+}
+
+/** Whether running the work twice has the effect of running it once. */
+enum class WorkKind : std::uint8_t
+{
+  Idempotent,
+  NonIdempotent,
+};
+
+/** What the header `Work-Outcome` tells the caller. */
+enum class WorkOutcome : std::uint8_t
+{
+  Run,
+  NotRun,
+  NotKnown,
+};
+
+/** How an attempt at an upstream failed. */
+enum class FailureKind : std::uint8_t
+{
+  Refused,        /**< The upstream's host refused the connection. */
+  ConnectTimeout, /**< No answer to the connection attempt. */
+  Reset,          /**< The connection ended before a complete response. */
+  ServerError,    /**< A complete response with a 5xx status. */
+  Stalled,        /**< No byte arrived for the stall timeout. */
+  NotStarted,     /**< The upstream says that it did not start the work. */
+};
+
+/** One attempt at an upstream, unique within a process. */
+using AttemptId = Quantity<struct AttemptIdTag>;
+
+} // namespace auburnmux::base
--- /dev/null
+++ b/packages/retries/src/CrashQuarantine.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "base/Base.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace auburnmux::retries {
+
+/** Identifies a request that is sent again. */
+using Fingerprint = base::Quantity<struct FingerprintTag>;
+
+/** \returns the fingerprint; \a aContent is the idempotency key where there
+ * is one, and otherwise the digest of the body. */
+Fingerprint MakeFingerprint(const base::ServiceId& aService,
+                            std::string_view aMethod, std::string_view aPath,
+                            std::string_view aContent);
+
+/** Crashes of one fingerprint as told to peers: an upstream that crashed twice
+ * is listed twice. */
+struct CrashRecord
+{
+  Fingerprint mFingerprint;
+  std::vector<base::UpstreamId> mUpstreams;
+};
+
+/** Bounds of CrashQuarantine. */
+struct QuarantineSettings
+{
+  std::uint32_t mCrashes = 2;
+  base::Duration mRefusal = std::chrono::minutes(10);
+  /** Crashes of one upstream within this time are one crash. */
+  base::Duration mSameCrash = std::chrono::seconds(2);
+  std::size_t mEntries = 4096;
+};
+
+/**
+ * Refuses requests that crashed upstreams. A crash resets every request in
+ * flight at the upstream, so a fingerprint that succeeds is cleared unless it
+ * is refused already.
+ */
+class CrashQuarantine
+{
+public:
+  explicit CrashQuarantine(QuarantineSettings aSettings = {});
+
+  /** Counts an upstream's death while it ran the request. \returns what to
+   * tell peers; none when the crash was counted before. */
+  std::optional<CrashRecord> OnCrash(base::TimePoint aNow,
+                                     Fingerprint aFingerprint,
+                                     const base::UpstreamId& aUpstream);
+  /** Merges a peer's record; merging it twice has no further effect. */
+  void Merge(base::TimePoint aNow, const CrashRecord& aRecord);
+  void OnSuccess(base::TimePoint aNow, Fingerprint aFingerprint);
+
+  bool IsRefused(base::TimePoint aNow, Fingerprint aFingerprint) const;
+  std::size_t Size() const { return mEntries.size(); }
+
+private:
+  struct Crashes
+  {
+    std::uint32_t mCount = 0;
+    base::TimePoint mLast{};
+  };
+  struct Entry
+  {
+    std::map<base::UpstreamId, Crashes> mUpstreams;
+    std::optional<base::TimePoint> mRefusedUntil;
+    base::TimePoint mExpires{};
+    std::list<Fingerprint>::iterator mAge;
+  };
+
+  Entry& Touch(base::TimePoint aNow, Fingerprint aFingerprint);
+  void Review(base::TimePoint aNow, Entry& aEntry);
+  void Evict(base::TimePoint aNow);
+  void Erase(Fingerprint aFingerprint);
+
+  QuarantineSettings mSettings;
+  std::unordered_map<Fingerprint, Entry> mEntries;
+  /** Least recently changed first. */
+  std::list<Fingerprint> mOrder;
+};
+
+} // namespace auburnmux::retries
