Implement balancing, limits and retries

Cause: the daemon needs the decisions behind the committed headers. Change: the three packages; OnSuccess and OnCancel of the pools now take the random source, because a failed probe schedules the next one with a random delay. FailureKind, ejection bounds and straggler handling are described at the classes.

--- a/packages/balancing/src/PeakEwma.h
+++ b/packages/balancing/src/PeakEwma.h
@@ -16,13 +16,18 @@
   void Add(base::TimePoint aNow, base::Duration aSample,
            base::Duration aTypical, base::Duration aDecay);
 
-  /** \returns zero when there is no sample. */
-  base::Duration Estimate() const { return mEstimate; }
-  bool IsEmpty() const { return mEstimate.count() == 0; }
+  /** \returns the estimate at \a aNow, which returns to \a aTypical over 10 s
+   * without samples, so that an avoided upstream is tried again. Zero when
+   * there is no sample. */
+  base::Duration Estimate(base::TimePoint aNow, base::Duration aTypical) const;
+  /** \returns the mean of recent samples; zero when there is none. */
+  base::Duration Mean() const { return mMean; }
+  bool IsEmpty() const { return mMean.count() == 0; }
   void Reset() { *this = PeakEwma(); }
 
 private:
   base::Duration mEstimate{};
+  base::Duration mMean{};
   base::TimePoint mLast{};
   bool mAfterOutlier = false;
 };
--- a/packages/balancing/src/RoundRobinPool.h
+++ b/packages/balancing/src/RoundRobinPool.h
@@ -23,11 +23,12 @@
   void OnStart(base::TimePoint aNow, base::AttemptId aAttempt,
                const base::UpstreamId& aUpstream, base::WorkClass aClass);
   void OnFirstByte(base::TimePoint aNow, base::AttemptId aAttempt);
-  void OnSuccess(base::TimePoint aNow, base::AttemptId aAttempt,
-                 base::Duration aLatency);
+  void OnSuccess(base::TimePoint aNow, base::Random& aRandom,
+                 base::AttemptId aAttempt, base::Duration aLatency);
   void OnFailure(base::TimePoint aNow, base::Random& aRandom,
                  base::AttemptId aAttempt, base::FailureKind aKind);
-  void OnCancel(base::TimePoint aNow, base::AttemptId aAttempt);
+  void OnCancel(base::TimePoint aNow, base::Random& aRandom,
+                base::AttemptId aAttempt);
   void OnLoadReport(base::TimePoint aNow, const base::UpstreamId& aUpstream,
                     base::Duration aAge, double aLoad);
   void OnLeavingSign(base::TimePoint aNow, const base::UpstreamId& aUpstream);
@@ -39,8 +40,12 @@
 private:
   struct Entry
   {
+    bool IsLeaving() const { return mSpec.mLeaving || mLeavingSign; }
+
     UpstreamSpec mSpec;
+    base::SlotCount mLimit;
     base::SlotCount mInFlight;
+    bool mLeavingSign = false;
   };
 
   Entry* Find(const base::UpstreamId& aUpstream);
--- /dev/null
+++ b/packages/balancing/src/TwoChoices.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "balancing/src/UpstreamState.h"
+
+#include <vector>
+
+namespace auburnmux::balancing::internal {
+
+/** What the cost of an upstream is computed for. */
+struct CostModel
+{
+  base::TimePoint mNow;
+  base::WorkClass mClass = base::WorkClass::Short;
+  base::Duration mTypical{};
+
+  double Cost(const UpstreamState& aState) const
+  {
+    return aState.Cost(mNow, mClass, mTypical);
+  }
+};
+
+/** \returns the cheaper of two different upstreams drawn at random.
+ * \pre \a aEligible isn't empty. */
+const UpstreamState* PickCheaperOfTwo(
+  base::Random& aRandom, const std::vector<const UpstreamState*>& aEligible,
+  const CostModel& aModel);
+
+} // namespace auburnmux::balancing::internal
--- a/packages/balancing/src/UpstreamPool.h
+++ b/packages/balancing/src/UpstreamPool.h
@@ -5,7 +5,9 @@
 #include "balancing/src/UpstreamSpec.h"
 #include "balancing/src/UpstreamState.h"
 
+#include <array>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -42,12 +44,13 @@
   void OnStart(base::TimePoint aNow, base::AttemptId aAttempt,
                const base::UpstreamId& aUpstream, base::WorkClass aClass);
   void OnFirstByte(base::TimePoint aNow, base::AttemptId aAttempt);
-  void OnSuccess(base::TimePoint aNow, base::AttemptId aAttempt,
-                 base::Duration aLatency);
+  void OnSuccess(base::TimePoint aNow, base::Random& aRandom,
+                 base::AttemptId aAttempt, base::Duration aLatency);
   void OnFailure(base::TimePoint aNow, base::Random& aRandom,
                  base::AttemptId aAttempt, base::FailureKind aKind);
   /** The attempt was abandoned, such as the loser of a hedge. */
-  void OnCancel(base::TimePoint aNow, base::AttemptId aAttempt);
+  void OnCancel(base::TimePoint aNow, base::Random& aRandom,
+                base::AttemptId aAttempt);
 
   /** Takes the load in [0, 1] that the upstream had \a aAge ago. It changes
    * the cost by a quarter at most and never ejects: reports mislead. */
@@ -72,18 +75,24 @@
     bool mProbe = false;
   };
 
+  /** An attempt that ended at an upstream that is still configured. */
+  struct Finished
+  {
+    UpstreamState* mState = nullptr;
+    base::WorkClass mClass = base::WorkClass::Short;
+    bool mProbe = false;
+  };
+
   UpstreamState* Find(const base::UpstreamId& aUpstream);
-  UpstreamState* Release(base::AttemptId aAttempt);
-  std::vector<UpstreamState*> Eligible(base::TimePoint aNow,
-                                       const PickRequest& aRequest);
-  UpstreamState* Cheaper(base::TimePoint aNow, base::Random& aRandom,
-                         const std::vector<UpstreamState*>& aEligible,
-                         base::WorkClass aClass) const;
+  std::optional<Finished> Finish(base::AttemptId aAttempt);
   UpstreamState* DueProbe(base::TimePoint aNow, const PickRequest& aRequest);
-  void ReviewLatency(base::TimePoint aNow, base::Random& aRandom,
-                     UpstreamState& aState);
-  void TryEject(base::TimePoint aNow, base::Random& aRandom,
-                UpstreamState& aState);
+  bool IsSlow(const UpstreamState& aState, base::WorkClass aClass,
+              base::Duration aLatency) const;
+  void FinishProbe(base::TimePoint aNow, base::Random& aRandom,
+                   const Finished& aProbe, base::Duration aLatency);
+  /** Ejects \a aState when its signals ask for it and the bounds allow it. */
+  void Review(base::TimePoint aNow, base::Random& aRandom,
+              UpstreamState& aState);
   void ReadmitForLoad(base::TimePoint aNow);
 
   PoolSettings mSettings;
@@ -92,6 +101,7 @@
   std::uint32_t mWaiting = 0;
   base::TimePoint mWaitingSince{};
   bool mConfigured = false;
+  std::array<base::Duration, base::kWorkClassCount> mTypical{};
 };
 
 } // namespace auburnmux::balancing
--- a/packages/balancing/src/UpstreamState.h
+++ b/packages/balancing/src/UpstreamState.h
@@ -28,7 +28,7 @@
   std::optional<base::WorkClass> Finish(base::AttemptId aAttempt);
   void Success(base::TimePoint aNow, base::WorkClass aClass,
                base::Duration aLatency, base::Duration aTypical);
-  void Failure(base::FailureKind aKind);
+  void Failure(base::TimePoint aNow, base::FailureKind aKind);
   void Load(base::TimePoint aNow, base::Duration aAge, double aLoad);
   void Leave(base::TimePoint aNow);
   void Ready(base::TimePoint aNow);
@@ -36,7 +36,7 @@
   /** Starts slow start. */
   void Warm(base::TimePoint aNow) { mWarmFrom = aNow; }
   void Eject(base::TimePoint aNow, base::Random& aRandom);
-  /** Ends an ejection and starts slow start. */
+  /** Ends an ejection and starts slow start. Signals start anew. */
   void Readmit(base::TimePoint aNow);
   /** Delays the next probe of an ejected upstream. */
   void ProbeFailed(base::TimePoint aNow, base::Random& aRandom);
@@ -50,10 +50,14 @@
   Condition State() const { return mCondition; }
   void SetState(Condition aCondition) { mCondition = aCondition; }
   base::SlotCount InFlight() const;
+  base::SlotCount InFlight(base::WorkClass aClass) const;
   base::SlotCount Allowed(base::TimePoint aNow) const;
-  base::Duration Latency(base::WorkClass aClass) const;
-  /** Counts samples in a row for which \a aSlow was true. */
-  std::uint32_t CountSlow(bool aSlow);
+  const PeakEwma& Latency(base::WorkClass aClass) const;
+  void CountSlow(bool aSlow) { mSlowSamples = aSlow ? mSlowSamples + 1 : 0; }
+  /** \returns the number of samples in a row that were slow. */
+  std::uint32_t SlowSamples() const { return mSlowSamples; }
+  /** \returns whether the upstream takes no connections, as far as known. */
+  bool IsGone() const;
   /** \returns the expected cost of one more request; lower is better. */
   double Cost(base::TimePoint aNow, base::WorkClass aClass,
               base::Duration aTypical) const;
@@ -66,6 +70,7 @@
     bool mFirstByte = false;
   };
 
+  double ReportFactor(base::TimePoint aNow) const;
   double WarmFraction(base::TimePoint aNow) const;
   void ScheduleProbe(base::TimePoint aNow, base::Random& aRandom);
 
--- a/packages/balancing/src/UpstreamStatus.h
+++ b/packages/balancing/src/UpstreamStatus.h
@@ -6,14 +6,15 @@
 
 namespace auburnmux::balancing {
 
-/** What the requests say about an upstream. */
+/** What the requests say about an upstream, from most to least likely to
+ * answer the next one. */
 enum class Condition : std::uint8_t
 {
   Working,
   Slow,        /**< Answers, far later than the others. */
-  Dead,        /**< Refuses new connections. */
-  Unreachable, /**< Connection attempts time out. */
   Failing,     /**< Accepts work and fails it. */
+  Unreachable, /**< Connection attempts time out. */
+  Dead,        /**< Refuses new connections. */
 };
 
 /** Signals of one upstream at one time. */
--- a/packages/limits/src/ClassQueue.h
+++ b/packages/limits/src/ClassQueue.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
@@ -24,12 +25,20 @@
 class ClassQueue
 {
 public:
+  explicit ClassQueue(QueueBounds aBounds)
+    : mBounds(aBounds)
+  {
+  }
+
   void Insert(const QueueEntry& aEntry);
   std::optional<QueueEntry> Remove(QueuedId aId);
   /** \returns the entry with the earliest deadline. */
   const QueueEntry* Earliest() const;
-  /** \returns the newest entry of the caller with the most entries. */
-  const QueueEntry* Newest() const;
+  /** \returns the newest entry of the caller with the largest share of the
+   * bounds, by entries or by bytes; among equals the newest. */
+  const QueueEntry* NextToShed() const;
+
+  bool IsOverBounds() const;
 
   bool Has(QueuedId aId) const { return mEntries.count(aId) != 0; }
   std::size_t Size() const { return mEntries.size(); }
@@ -43,15 +52,24 @@
     QueueEntry mEntry;
     std::uint64_t mSequence = 0;
   };
-  using CallerItems = std::map<std::uint64_t, QueuedId>;
+  /** What one caller has in the queue. */
+  struct Caller
+  {
+    std::map<std::uint64_t, QueuedId> mItems;
+    base::ByteCount mBytes;
+  };
+  /** Share of the bounds, sequence of the newest entry, caller. */
+  using Rank = std::tuple<std::uint64_t, std::uint64_t, CallerKey>;
 
-  void Recount(CallerKey aCaller, std::size_t aBefore, std::size_t aAfter);
+  Rank RankOf(CallerKey aKey, const Caller& aCaller) const;
+  void AddToCaller(const Item& aItem);
+  void RemoveFromCaller(const Item& aItem);
 
+  QueueBounds mBounds;
   std::unordered_map<QueuedId, Item> mEntries;
   std::map<Order, QueuedId> mByDeadline;
-  std::unordered_map<CallerKey, CallerItems> mByCaller;
-  /** Callers by the number of their entries. */
-  std::set<std::pair<std::size_t, CallerKey>> mBySize;
+  std::unordered_map<CallerKey, Caller> mCallers;
+  std::set<Rank> mByShare;
   std::uint64_t mSequence = 0;
   base::ByteCount mBytes;
 };
--- a/packages/limits/src/ConcurrencyLimit.h
+++ b/packages/limits/src/ConcurrencyLimit.h
@@ -3,6 +3,7 @@
 #include "base/Base.h"
 
 #include <cstdint>
+#include <vector>
 
 namespace auburnmux::limits {
 
@@ -46,14 +47,14 @@
 
 private:
   void Adjust(bool aWaiting);
-  void Clamp();
+  void Apply(double aLimit);
+  double WindowMedian();
 
   ConcurrencySettings mSettings;
   base::SlotCount mShare;
   double mLimit;
   double mLongTerm = 0;
-  double mWindowSum = 0;
-  std::uint32_t mWindowCount = 0;
+  std::vector<double> mWindow;
   bool mWaitingSeen = false;
 };
 
--- a/packages/limits/src/DeadlineQueue.h
+++ b/packages/limits/src/DeadlineQueue.h
@@ -38,7 +38,7 @@
   /**
    * Adds \a aEntry.
    * \returns the entries shed to stay within the bounds, which may include
-   * \a aEntry itself: the newest of the caller with the most entries goes
+   * \a aEntry itself: the newest of the caller with the largest share goes
    * first. Answer them "not run".
    * \pre the id is not queued.
    */
@@ -67,8 +67,8 @@
 
 private:
   internal::ClassQueue& Queue(base::WorkClass aClass);
+  const internal::ClassQueue& Queue(base::WorkClass aClass) const;
 
-  std::array<QueueBounds, base::kWorkClassCount> mBounds;
   std::array<internal::ClassQueue, base::kWorkClassCount> mQueues;
   std::uint32_t mShortTurns = 0;
 };
--- /dev/null
+++ b/packages/limits/src/SlotShare.cpp
@@ -0,0 +1,79 @@
+#include "limits/src/SlotShare.h"
+
+#include <algorithm>
+
+namespace auburnmux::limits {
+
+using base::ConnectionCount;
+using base::HostId;
+using base::SlotCount;
+using base::UpstreamId;
+
+namespace {
+
+/** A host's part of a division among all hosts. */
+struct Part
+{
+  std::uint32_t mHosts = 0;
+  std::uint32_t mRank = 0;
+};
+
+std::uint64_t Score(const HostId& aHost, std::uint64_t aUpstreamHash)
+{
+  return base::CombineHash(base::Hash64(aHost.Text()), aUpstreamHash);
+}
+
+/** \returns the number of hosts and the place of \a aSelf among them in
+ * rendezvous order. */
+Part FindPart(const UpstreamId& aUpstream, const HostId& aSelf,
+              const std::vector<HostId>& aHosts)
+{
+  const std::uint64_t hash = base::Hash64(aUpstream.Text());
+  const std::uint64_t own = Score(aSelf, hash);
+  Part part;
+  part.mHosts = 1;
+  for (const HostId& it : aHosts) {
+    if (it == aSelf) {
+      continue;
+    }
+    ++part.mHosts;
+    const std::uint64_t other = Score(it, hash);
+    if (other > own || (other == own && it < aSelf)) {
+      ++part.mRank;
+    }
+  }
+  return part;
+}
+
+std::uint32_t Divide(std::uint32_t aTotal, Part aPart)
+{
+  const bool extra = aPart.mRank < aTotal % aPart.mHosts;
+  return aTotal / aPart.mHosts + (extra ? 1 : 0);
+}
+
+} // namespace
+
+SlotCount SlotShare::Slots(const UpstreamId& aUpstream, SlotCount aSlots,
+                           const HostId& aSelf,
+                           const std::vector<HostId>& aLive, ShareFloor aFloor)
+{
+  const std::uint32_t share =
+    Divide(aSlots.Count(), FindPart(aUpstream, aSelf, aLive));
+  const bool raise = aFloor == ShareFloor::One && aSlots.Count() > 0;
+  return SlotCount(raise ? std::max(share, 1U) : share);
+}
+
+ConnectionCount SlotShare::Connections(const UpstreamId& aUpstream,
+                                       ConnectionCount aConnections,
+                                       const HostId& aSelf,
+                                       const std::vector<HostId>& aAll)
+{
+  // A host outside the list would add to the sum, so it gets none.
+  if (std::find(aAll.begin(), aAll.end(), aSelf) == aAll.end()) {
+    return ConnectionCount(0);
+  }
+  return ConnectionCount(
+    Divide(aConnections.Count(), FindPart(aUpstream, aSelf, aAll)));
+}
+
+} // namespace auburnmux::limits
--- a/packages/retries/src/CrashQuarantine.h
+++ b/packages/retries/src/CrashQuarantine.h
@@ -78,6 +78,7 @@
 
   Entry& Touch(base::TimePoint aNow, Fingerprint aFingerprint);
   void Review(base::TimePoint aNow, Entry& aEntry);
+  static CrashRecord Record(Fingerprint aFingerprint, const Entry& aEntry);
   void Evict(base::TimePoint aNow);
   void Erase(Fingerprint aFingerprint);
 
--- a/packages/retries/src/RetryBudget.h
+++ b/packages/retries/src/RetryBudget.h
@@ -37,9 +37,10 @@
 
   BudgetSettings mSettings;
   double mCredit = 0;
-  /** Credit earned in the second that began at mSecond, and the one before. */
+  /** Credit earned in the second that began at mSecond. */
   double mEarned = 0;
-  double mEarnedBefore = 0;
+  /** The part of it that the fraction of requests gives. */
+  double mFromRequests = 0;
   base::TimePoint mSecond{};
   bool mStarted = false;
 };
