Treat a stale pointer as unchanged while publishing

Cause: the platform's reads may be stale; a pointer older than the base made the run give up although its conditional write was still safe to repeat. Change: a pointer version at or below the base is handled as unchanged; the fake platform serves stale reads in the race property.

--- a/packages/config/src/Publication.cpp
+++ b/packages/config/src/Publication.cpp
@@ -99,9 +99,10 @@
 PublicationAction Publication::Resolve(const CurrentPointer& aPointer,
                                        base::ObjectVersion aVersion)
 {
-  if (mBase && aVersion == mBaseVersion) {
-    // An earlier write that is still on its way has the same condition, so at
-    // most one of the two takes effect.
+  if (mBase && aVersion <= mBaseVersion) {
+    // The pointer is unchanged, or the read was stale. An earlier write that
+    // is still on its way has the same condition as the next one, so at most
+    // one of the two takes effect.
     return ++mFailures < kMaxFailures ? Write() : GiveUp("the platform fails");
   }
   const PublishedVersion* entry = aPointer.Find(mVersion.mTag.mVersion);
--- a/packages/config/test/PublicationTest.cpp
+++ b/packages/config/test/PublicationTest.cpp
@@ -103,6 +103,7 @@
                                                    { 1, Fault::Outage },
                                                    { 1, Fault::AnswerLost },
                                                    { 1, Fault::RequestLost },
+                                                   { 1, Fault::Stale },
                                                    { 1, Fault::Delayed } }));
     if (*rc::gen::inRange(0, 8) == 0) {
       platform.Deliver();
--- a/packages/config/test/support/FakePlatform.h
+++ b/packages/config/test/support/FakePlatform.h
@@ -12,6 +12,7 @@
 /**
  * Object store in memory that fails on request. A write whose answer is lost
  * may take effect at once, later, or never; its condition holds in each case.
+ * A stale read returns the pointer before the current one.
  */
 class FakePlatform
 {
@@ -22,7 +23,8 @@
     Outage,
     AnswerLost,
     RequestLost,
-    Delayed
+    Delayed,
+    Stale
   };
 
   PublicationEvent Run(const PublicationAction& aAction, Fault aFault)
@@ -33,7 +35,9 @@
     const auto* create = std::get_if<CreateObject>(&aAction);
     const auto* write = std::get_if<WritePointer>(&aAction);
     if (create == nullptr && write == nullptr) {
-      return aFault == Fault::None ? Read() : PublicationEvent{ CallUnknown{} };
+      return aFault == Fault::None || aFault == Fault::Stale
+               ? Read(aFault == Fault::Stale ? 1 : 0)
+               : PublicationEvent{ CallUnknown{} };
     }
     const Put put = create != nullptr
                       ? Put{ create->mName, create->mBytes, {} }
@@ -89,13 +93,15 @@
     base::ObjectVersion mVersion;
   };
 
-  PublicationEvent Read() const
+  /** Reads the pointer as it was \a aAge writes ago. */
+  PublicationEvent Read(std::size_t aAge) const
   {
-    const auto it = mObjects.find(kCurrentObject);
-    if (it == mObjects.end()) {
+    if (mPointers.size() <= aAge) {
       return PointerAbsent{};
     }
-    return PointerFound{ it->second.mVersion, it->second.mBytes };
+    const std::size_t version = mPointers.size() - aAge;
+    return PointerFound{ base::ObjectVersion{ version },
+                         mPointers[version - 1] };
   }
 
   bool Apply(const Put& aPut)
