Add the idempotency package

Ruled out: telling a writer's own batch only by its id. A grant is judged from the durable chain alone, so that it doesn't matter which host or which of several uncertain writes recorded the claim; the batch id is counted. A first version answered from the records of a segment that it had met as the last one before a listing had shown that it was: a creation delayed past the deletion of its number then led to a second dispatch. Answers now wait for the listing. Conclusion: the conditional write is the fence; deletion needs the listing.

--- /dev/null
+++ b/packages/idempotency/src/HolderTable.cpp
@@ -0,0 +1,45 @@
+#include "idempotency/src/HolderTable.h"
+
+#include <cassert>
+
+namespace auburnmux::idempotency {
+
+HolderSlot HolderTable::Acquire(const base::HostId& aHost,
+                                base::Incarnation aIncarnation)
+{
+  // A linear search: the rows are the host incarnations of one retention
+  // window, which are few and are met again from the front.
+  std::size_t free = mRows.size();
+  for (std::size_t it = 0; it < mRows.size(); ++it) {
+    Row& row = mRows[it];
+    if (row.mUses == 0) {
+      free = it;
+    } else if (row.mIncarnation == aIncarnation && row.mHost == aHost) {
+      ++row.mUses;
+      return HolderSlot(static_cast<std::uint32_t>(it));
+    }
+  }
+  if (free == mRows.size()) {
+    mRows.emplace_back();
+  }
+  mRows[free] = Row{ aHost, aIncarnation, 1 };
+  return HolderSlot(static_cast<std::uint32_t>(free));
+}
+
+void HolderTable::Release(HolderSlot aSlot)
+{
+  assert(mRows[aSlot.Count()].mUses > 0);
+  --mRows[aSlot.Count()].mUses;
+}
+
+const base::HostId& HolderTable::Host(HolderSlot aSlot) const
+{
+  return mRows[aSlot.Count()].mHost;
+}
+
+base::Incarnation HolderTable::IncarnationOf(HolderSlot aSlot) const
+{
+  return mRows[aSlot.Count()].mIncarnation;
+}
+
+} // namespace auburnmux::idempotency
--- /dev/null
+++ b/packages/idempotency/src/SegmentChain.cpp
@@ -0,0 +1,352 @@
+#include "idempotency/src/SegmentChain.h"
+
+#include <algorithm>
+#include <cassert>
+#include <set>
+#include <utility>
+
+#include "idempotency/src/SegmentCodec.h"
+
+namespace auburnmux::idempotency {
+
+SegmentChain::SegmentChain(ClaimIndex& aIndex, base::ByteCount aSealAt,
+                           std::uint64_t aSeed)
+  : mIndex(aIndex)
+  , mSealAt(aSealAt)
+  , mRandom(aSeed)
+{
+}
+
+void SegmentChain::Refresh(base::TimePoint aNow, ClaimLogActions& aOut)
+{
+  assert(IsIdle());
+  StartOperation(Phase::Reading);
+  ReadFromTail(aNow, aOut);
+}
+
+void SegmentChain::Append(std::vector<ClaimRecord> aRecords,
+                          ClaimLogActions& aOut)
+{
+  assert(IsIdle() && !aRecords.empty());
+  StartOperation(Phase::Writing);
+  StagedWrite staged;
+  staged.mCall = mCalls.Next();
+  staged.mBatch = { BatchId(mRandom.Next()), std::move(aRecords) };
+  const std::string open = EncodeAppend(staged.mBatch, false);
+  // A creation never seals, so that a segment below the last one that isn't
+  // sealed is known to be the work of a delayed creation.
+  staged.mIsSealing =
+    mTail.mVersion != kAbsent &&
+    base::ByteCount(mTail.mBytes.size() + open.size()) >= mSealAt;
+  staged.mBytes =
+    mTail.mBytes +
+    (staged.mIsSealing ? EncodeAppend(staged.mBatch, true) : open);
+  aOut.emplace_back(
+    WriteSegment{ staged.mCall, mTail.mNumber, mTail.mVersion, staged.mBytes });
+  mStaged = std::move(staged);
+  ++mCounts.mWrites;
+}
+
+void SegmentChain::OnResult(PlatformResult aResult, base::TimePoint aNow,
+                            ClaimLogActions& aOut)
+{
+  std::visit(
+    [this, aNow, &aOut](auto&& aIt) {
+      On(std::forward<decltype(aIt)>(aIt), aNow, aOut);
+    },
+    std::move(aResult));
+}
+
+void SegmentChain::On(const ListResult& aResult, base::TimePoint aNow,
+                      ClaimLogActions& aOut)
+{
+  if (aResult.mCall != mListCall || mListCall == CallNumber(0)) {
+    return;
+  }
+  mListCall = CallNumber(0);
+  const bool isAnswered = aResult.mStatus == CallStatus::Done;
+  NoteAnswer(isAnswered, aNow);
+  if (!isAnswered) {
+    mListDue = aNow + mListDelay.Next(mRandom);
+    return;
+  }
+  mListDelay.Reset();
+  const bool isLast =
+    std::all_of(aResult.mSegments.begin(), aResult.mSegments.end(),
+                [this](SegmentNumber aIt) { return aIt <= mTail.mNumber; });
+  if (mPhase != Phase::Verifying || !isLast) {
+    BeginLoad(aResult);
+    ContinueReading(aNow, aOut);
+  } else if (mStaged && mStaged->mVersion != kAbsent) {
+    Commit();
+  } else {
+    FinishOperation();
+  }
+}
+
+void SegmentChain::On(ReadResult aResult, base::TimePoint aNow,
+                      ClaimLogActions& aOut)
+{
+  if (mPhase != Phase::Reading) {
+    return;
+  }
+  const bool isFailure = aResult.mStatus == CallStatus::Unknown;
+  if (mReader.Accept(std::move(aResult), aNow, mRandom) || isFailure) {
+    NoteAnswer(!isFailure, aNow);
+  }
+  ContinueReading(aNow, aOut);
+}
+
+void SegmentChain::On(const WriteResult& aResult, base::TimePoint aNow,
+                      ClaimLogActions& aOut)
+{
+  if (mPhase != Phase::Writing || !mStaged || aResult.mCall != mStaged->mCall) {
+    return;
+  }
+  NoteAnswer(aResult.mStatus != CallStatus::Unknown, aNow);
+  switch (aResult.mStatus) {
+    case CallStatus::Done:
+      mStaged->mVersion = aResult.mVersion;
+      mTail.mVersion == kAbsent ? Verify(aOut) : Commit();
+      return;
+    case CallStatus::NotFound:
+      Reload(aOut);
+      return;
+    case CallStatus::Conflict:
+      ++mCounts.mConflicts;
+      break;
+    case CallStatus::Unknown:
+      ++mCounts.mUnknownWrites;
+      break;
+  }
+  mPhase = Phase::Reading;
+  ReadFromTail(aNow, aOut);
+}
+
+void SegmentChain::On(const DeleteResult& aResult, base::TimePoint /*aNow*/,
+                      ClaimLogActions& /*aOut*/)
+{
+  if (aResult.mCall != mDeleteCall || mDeleteCall == CallNumber(0)) {
+    return;
+  }
+  mDeleteCall = CallNumber(0);
+  const bool isGone = aResult.mStatus == CallStatus::Done ||
+                      aResult.mStatus == CallStatus::NotFound;
+  if (isGone && !mSealed.empty()) {
+    mSealed.pop_front();
+  }
+}
+
+void SegmentChain::OnTick(base::TimePoint aNow, ClaimLogActions& aOut)
+{
+  if (mPhase == Phase::Start) {
+    StartOperation(Phase::Listing);
+    Reload(aOut);
+  } else if (mListDue && *mListDue <= aNow) {
+    SendList(aOut);
+  } else if (mPhase == Phase::Reading) {
+    mReader.Send(aNow, mCalls, aOut);
+  }
+}
+
+bool SegmentChain::DeleteOldest(ClaimLogActions& aOut)
+{
+  if (!IsIdle() || mDeleteCall != CallNumber(0) || mSealed.empty() ||
+      mTail.mVersion == kAbsent ||
+      mSealed.front().mNewestKey >= mRememberedSince) {
+    return false;
+  }
+  mDeleteCall = mCalls.Next();
+  aOut.emplace_back(DeleteSegment{ mDeleteCall, mSealed.front().mNumber });
+  return true;
+}
+
+void SegmentChain::StartOperation(Phase aPhase)
+{
+  mPhase = aPhase;
+  mStarted += OperationNumber(1);
+}
+
+void SegmentChain::FinishOperation()
+{
+  mPhase = Phase::Idle;
+  mIsLoaded = true;
+  mProven = mStarted;
+  mStaged.reset();
+}
+
+void SegmentChain::SendList(ClaimLogActions& aOut)
+{
+  mListDue.reset();
+  mListCall = mCalls.Next();
+  aOut.emplace_back(ListSegments{ mListCall });
+}
+
+void SegmentChain::Reload(ClaimLogActions& aOut)
+{
+  mPhase = Phase::Listing;
+  mIsLoaded = false;
+  SendList(aOut);
+}
+
+void SegmentChain::Verify(ClaimLogActions& aOut)
+{
+  mPhase = Phase::Verifying;
+  SendList(aOut);
+}
+
+void SegmentChain::BeginLoad(const ListResult& aResult)
+{
+  ++mCounts.mLoads;
+  mPhase = Phase::Reading;
+  mIsLoaded = false;
+  mIndex.Clear();
+  mSealed.clear();
+  // A delete in flight was meant for a segment of the chain as it was known.
+  mDeleteCall = CallNumber(0);
+  if (mStaged) {
+    mStaged->mVersion = kAbsent;
+  }
+  mTail = Tail{};
+  if (aResult.mSegments.empty()) {
+    FinishOperation();
+    return;
+  }
+  const std::set<SegmentNumber> numbers(aResult.mSegments.begin(),
+                                        aResult.mSegments.end());
+  // Only the run that ends at the highest number is the chain: a segment below
+  // a gap was created by a write delayed past its deletion.
+  SegmentNumber first = *numbers.rbegin();
+  mHighestListed = first;
+  while (first > SegmentNumber(0) &&
+         numbers.count(first - SegmentNumber(1)) > 0) {
+    first -= SegmentNumber(1);
+  }
+  mTail.mNumber = first;
+  mReader.Begin(first, mHighestListed);
+}
+
+void SegmentChain::ReadFromTail(base::TimePoint aNow, ClaimLogActions& aOut)
+{
+  mHighestListed = mTail.mNumber;
+  mReader.Begin(mTail.mNumber, mTail.mNumber);
+  mReader.Send(aNow, mCalls, aOut);
+}
+
+void SegmentChain::ContinueReading(base::TimePoint aNow, ClaimLogActions& aOut)
+{
+  while (mPhase == Phase::Reading) {
+    auto value = mReader.Take();
+    if (!value) {
+      mReader.Send(aNow, mCalls, aOut);
+      return;
+    }
+    Consume(std::move(*value), aNow, aOut);
+  }
+}
+
+void SegmentChain::Consume(SegmentValue aValue, base::TimePoint aNow,
+                           ClaimLogActions& aOut)
+{
+  const bool isLast = aValue.mNumber >= mHighestListed;
+  if (aValue.mVersion == kAbsent) {
+    const bool isBeyondList = aValue.mNumber > mHighestListed;
+    const bool isEnd = mTail.mVersion == kAbsent && (mIsLoaded || isBeyondList);
+    isEnd ? FinishOperation() : Reload(aOut);
+    return;
+  }
+  const auto segment = DecodeSegment(aValue.mBytes);
+  if (!segment) {
+    // Unreadable now may be readable later; without it no claim is safe.
+    ++mCounts.mUnreadableSegments;
+    NoteAnswer(false, aNow);
+    mReader.Repeat(aValue.mNumber, aNow, mRandom);
+  } else if (!ExtendsTail(aValue)) {
+    Reload(aOut);
+  } else if (segment->mIsSealed) {
+    TakeOver(std::move(aValue), *segment);
+    AdvanceTail();
+    if (isLast) {
+      mReader.Extend();
+    }
+  } else if (!isLast) {
+    SkipDelayedCreation();
+  } else {
+    const bool isNew = mTail.mVersion == kAbsent;
+    TakeOver(std::move(aValue), *segment);
+    if (isNew) {
+      // Nothing is answered from its records before they are verified.
+      mIsLoaded = false;
+      Verify(aOut);
+    } else {
+      FinishOperation();
+    }
+  }
+}
+
+void SegmentChain::SkipDelayedCreation()
+{
+  // Its number and all below were deleted before it was created, and nothing
+  // in it was ever granted.
+  mIndex.Clear();
+  AdvanceTail();
+  mSealed.clear();
+}
+
+bool SegmentChain::ExtendsTail(const SegmentValue& aValue) const
+{
+  return aValue.mBytes.compare(0, mTail.mBytes.size(), mTail.mBytes) == 0;
+}
+
+void SegmentChain::TakeOver(SegmentValue aValue, const ClaimSegment& aSegment)
+{
+  for (std::size_t it = mTail.mBatches; it < aSegment.mBatches.size(); ++it) {
+    const ClaimBatch& batch = aSegment.mBatches[it];
+    if (mStaged && batch.mId == mStaged->mBatch.mId) {
+      ++mCounts.mOwnBatchesFound;
+    }
+    ApplyBatch(batch);
+  }
+  mTail.mVersion = aValue.mVersion;
+  mTail.mBytes = std::move(aValue.mBytes);
+  mTail.mBatches = aSegment.mBatches.size();
+}
+
+void SegmentChain::Commit()
+{
+  ApplyBatch(mStaged->mBatch);
+  mTail.mVersion = mStaged->mVersion;
+  mTail.mBytes = std::move(mStaged->mBytes);
+  ++mTail.mBatches;
+  if (mStaged->mIsSealing) {
+    AdvanceTail();
+  }
+  FinishOperation();
+}
+
+void SegmentChain::ApplyBatch(const ClaimBatch& aBatch)
+{
+  for (const ClaimRecord& it : aBatch.mRecords) {
+    mTail.mNewestKey = std::max(mTail.mNewestKey, KeyOf(it).Time());
+    mIndex.Apply(it, mRememberedSince);
+  }
+}
+
+void SegmentChain::AdvanceTail()
+{
+  mSealed.push_back({ mTail.mNumber, mTail.mNewestKey });
+  const SegmentNumber next = mTail.mNumber + SegmentNumber(1);
+  mTail = Tail{};
+  mTail.mNumber = next;
+}
+
+void SegmentChain::NoteAnswer(bool aIsAnswered, base::TimePoint aNow)
+{
+  if (aIsAnswered) {
+    mFailingSince.reset();
+  } else if (!mFailingSince) {
+    mFailingSince = aNow;
+  }
+}
+
+} // namespace auburnmux::idempotency
