--- a/packages/membership/src/GossipRounds.cpp
+++ b/packages/membership/src/GossipRounds.cpp
@@ -6,8 +6,7 @@
 
 void GossipRounds::Add(const base::HostId& aId)
 {
-  if (std::find(mPending.begin(), mPending.end(), aId) == mPending.end() &&
-      mPending.size() < kMaxHosts) {
+  if (mPending.size() < kMaxHosts && mIsPending.insert(aId).second) {
     mPending.push_back(aId);
   }
 }
@@ -24,6 +23,7 @@
   mIsRequested = false;
   while (!mPending.empty() && aOut.size() < kMaxUpdates) {
     aOut.push_back(mPending.front());
+    mIsPending.erase(mPending.front());
     mPending.pop_front();
   }
   return true;
--- a/packages/membership/src/GossipRounds.h
+++ b/packages/membership/src/GossipRounds.h
@@ -3,6 +3,7 @@
 #include "membership/src/Settings.h"
 
 #include <deque>
+#include <unordered_set>
 #include <vector>
 
 namespace auburnmux::membership {
@@ -34,6 +35,7 @@
 
 private:
   std::deque<base::HostId> mPending;
+  std::unordered_set<base::HostId> mIsPending;
   bool mIsRequested = false;
   double mTokens = kBurst;
   base::TimePoint mRefilled;
--- a/packages/membership/src/UpdateQueue.h
+++ b/packages/membership/src/UpdateQueue.h
@@ -2,6 +2,8 @@
 
 #include "membership/src/HostTable.h"
 
+#include <map>
+#include <set>
 #include <vector>
 
 namespace auburnmux::membership {
@@ -18,7 +20,7 @@
   /** Moves up to \a aMost hosts' states into \a aOut, least sent first. */
   void Take(const HostTable& aTable, std::size_t aMost,
             std::vector<HostUpdate>& aOut);
-  bool IsEmpty() const { return mEntries.empty(); }
+  bool IsEmpty() const { return mOrder.empty(); }
 
   /** \returns how often an update is sent in a fleet of \a aFleetSize. */
   static std::size_t Transmissions(std::size_t aFleetSize);
@@ -26,11 +28,20 @@
 private:
   struct Entry
   {
-    base::HostId mId;
     std::size_t mRemaining = 0;
+    base::HostId mId;
+
+    friend bool operator<(const Entry& aLeft, const Entry& aRight)
+    {
+      return aLeft.mRemaining != aRight.mRemaining
+               ? aLeft.mRemaining > aRight.mRemaining
+               : aLeft.mId < aRight.mId;
+    }
   };
 
-  std::vector<Entry> mEntries;
+  std::map<base::HostId, std::size_t> mRemaining;
+  /** The same entries, least sent first. */
+  std::set<Entry> mOrder;
 };
 
 } // namespace auburnmux::membership
