--- /dev/null
+++ b/packages/daemon/Daemon.h
@@ -0,0 +1,5 @@
+#pragma once
+
+#include "daemon/src/Shared.h"
+
+#include "daemon/src/Daemon.h"
--- /dev/null
+++ b/packages/daemon/src/Carriage.cpp
@@ -0,0 +1,151 @@
+#include "daemon/src/Carriage.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnmux::daemon {
+
+namespace {
+
+// Resolution of deadlines and hedges.
+constexpr base::Duration kTick = std::chrono::milliseconds(5);
+
+} // namespace
+
+Carriage::Carriage(const Shared& aShared, const ClusterNode& aCluster,
+                   Gates aGates)
+  : mShared(aShared)
+  , mCluster(aCluster)
+  , mGates(std::move(aGates))
+{
+}
+
+void Carriage::Start()
+{
+  mShared.mLoop.Every(kTick, [this] { OnTick(); });
+}
+
+void Carriage::OnTick()
+{
+  const base::TimePoint now = mShared.mLoop.Now();
+  for (auto& [id, service] : mServices) {
+    service->OnTick(now);
+  }
+  for (auto& it : mRetired) {
+    it->OnTick(now);
+  }
+}
+
+bool Carriage::HasLiveHost(const base::DataCentreId& aCentre) const
+{
+  const auto& view = mCluster.View();
+  return std::any_of(view.begin(), view.end(),
+                     [&](const membership::HostView& aHost) {
+                       return aHost.mHost.mDataCentre == aCentre &&
+                              aHost.mState != membership::HostState::Dead;
+                     });
+}
+
+bool Carriage::TakesOver(const config::TopologyFile& aTopology,
+                         const config::Region& aRegion,
+                         const base::DataCentreId& aCentre) const
+{
+  if (HasLiveHost(aCentre)) {
+    return false;
+  }
+  const config::DataCentre* nearest = nullptr;
+  for (const config::DataCentre& it : aRegion.mDataCentres) {
+    if (it.mName == aCentre || !HasLiveHost(it.mName)) {
+      continue;
+    }
+    const bool isNearer =
+      nearest == nullptr || aTopology.OneWayDelay(it.mName, aCentre) <
+                              aTopology.OneWayDelay(nearest->mName, aCentre);
+    nearest = isNearer ? &it : nearest;
+  }
+  return nearest != nullptr && nearest->mName == mShared.mSettings.mDataCentre;
+}
+
+CarrierView Carriage::MakeView(const config::TopologyFile& aTopology) const
+{
+  const base::DataCentreId& own = mShared.mSettings.mDataCentre;
+  CarrierView view;
+  view.mDataCentres = { own };
+  view.mLiveHosts = mCluster.LiveHostsHere();
+  const config::Region* region = aTopology.RegionOf(own);
+  if (region == nullptr) {
+    return view;
+  }
+  for (const config::DataCentre& it : region->mDataCentres) {
+    if (it.mName != own && TakesOver(aTopology, *region, it.mName)) {
+      view.mDataCentres.push_back(it.mName);
+    }
+  }
+  // Connections are divided by the hosts that may ever run in the region, of
+  // which only the number is known.
+  const auto n = aTopology.HostSlotsOfRegion(region->mName).Count();
+  view.mPossibleHosts = { mShared.mSettings.mHost };
+  for (std::uint32_t i = 1; i < n; ++i) {
+    view.mPossibleHosts.emplace_back("possible-" + std::to_string(i));
+  }
+  return view;
+}
+
+void Carriage::Configure(const config::Snapshot& aSnapshot)
+{
+  const CarrierView view = MakeView(aSnapshot.mTopology);
+  for (auto it = mServices.begin(); it != mServices.end();) {
+    if (aSnapshot.FindService(it->first) == nullptr) {
+      mRetired.push_back(std::move(it->second));
+      it = mServices.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (const config::ServiceFile& it : aSnapshot.mServices) {
+    auto& service = mServices[it.mService];
+    if (!service) {
+      service = std::make_unique<ServiceRuntime>(mShared, mGates, it);
+    }
+    service->Configure(it, view);
+  }
+}
+
+ServiceRuntime* Carriage::Find(const base::ServiceId& aService)
+{
+  const auto it = mServices.find(aService);
+  return it == mServices.end() ? nullptr : it->second.get();
+}
+
+void Carriage::Accept(std::shared_ptr<http::ServerExchange> aExchange)
+{
+  const http::RequestHead& head = aExchange->Head();
+  ServiceRuntime* service = Find(SplitServicePath(head.mPath).mService);
+  if (service == nullptr) {
+    SendRefusal(*aExchange,
+                { 404, base::WorkOutcome::NotRun,
+                  "no service of this name is in force", std::nullopt });
+    return;
+  }
+  auto plan =
+    PlanRequest(head, service->File(), mShared.mLoop.Now(), mShared.mRandom);
+  if (const auto* refusal = std::get_if<Refusal>(&plan)) {
+    SendRefusal(*aExchange, *refusal);
+    return;
+  }
+  service->Accept(std::move(aExchange), std::move(std::get<RequestPlan>(plan)));
+}
+
+std::size_t Carriage::OpenRequests() const
+{
+  std::size_t n = 0;
+  for (const auto& [id, service] : mServices) {
+    n += service->OpenRequests();
+  }
+  for (const auto& it : mRetired) {
+    n += it->OpenRequests();
+  }
+  return n;
+}
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/Carriage.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "daemon/src/ClusterNode.h"
+#include "daemon/src/ServiceRuntime.h"
+#include "daemon/src/Shared.h"
+
+#include <map>
+#include <memory>
+
+namespace auburnmux::daemon {
+
+/** The services of the configuration in force, and their requests. */
+class Carriage
+{
+public:
+  Carriage(const Shared& aShared, const ClusterNode& aCluster, Gates aGates);
+
+  void Start();
+  /** Takes a new configuration or a new view of the hosts. */
+  void Configure(const config::Snapshot& aSnapshot);
+
+  /** \returns the service, or null when it isn't in force. */
+  ServiceRuntime* Find(const base::ServiceId& aService);
+  const std::map<base::ServiceId, std::unique_ptr<ServiceRuntime>>& Services()
+    const
+  {
+    return mServices;
+  }
+  /** Takes over a request on a service's path. */
+  void Accept(std::shared_ptr<http::ServerExchange> aExchange);
+  /** \returns requests that are not finished. */
+  std::size_t OpenRequests() const;
+
+  /** \returns which upstreams this host uses, for the hosts alive now. */
+  CarrierView MakeView(const config::TopologyFile& aTopology) const;
+
+private:
+  /** \returns whether this host's data centre is the nearest one with live
+   * hosts to \a aCentre, which has none. */
+  bool TakesOver(const config::TopologyFile& aTopology,
+                 const config::Region& aRegion,
+                 const base::DataCentreId& aCentre) const;
+  bool HasLiveHost(const base::DataCentreId& aCentre) const;
+  void OnTick();
+
+  const Shared& mShared;
+  const ClusterNode& mCluster;
+  Gates mGates;
+  std::map<base::ServiceId, std::unique_ptr<ServiceRuntime>> mServices;
+  /** Services that are no longer in force and finish their requests. */
+  std::vector<std::unique_ptr<ServiceRuntime>> mRetired;
+};
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/ClaimService.cpp
@@ -0,0 +1,415 @@
+#include "daemon/src/ClaimService.h"
+
+#include "daemon/src/WireClaim.h"
+
+#include <utility>
+
+namespace auburnmux::daemon {
+
+namespace {
+
+using idempotency::AttemptNumber;
+using idempotency::ClaimHolder;
+using idempotency::IdempotencyKey;
+using idempotency::PartitionNumber;
+
+constexpr base::Duration kTick = std::chrono::milliseconds(20);
+
+// A log that was not asked for this long, of a partition that another host
+// owns, is dropped with its memory.
+constexpr base::Duration kUnusedLog = std::chrono::seconds(60);
+
+idempotency::ClaimClientSettings ClientSettings(
+  const idempotency::Retention& aRetention)
+{
+  idempotency::ClaimClientSettings settings;
+  settings.mRetention = aRetention;
+  return settings;
+}
+
+} // namespace
+
+struct ClaimService::ClientVisitor
+{
+  ClaimService& mService;
+
+  template<typename Action>
+  void SendToOwner(const Action& aAction) const
+  {
+    const base::HostId owner =
+      mService.OwnerOf(mService.PartitionOf(aAction.mKey));
+    mService.SendTo(owner, ToWire(aAction));
+  }
+  void operator()(const idempotency::SendClaimRequest& aAction) const
+  {
+    SendToOwner(aAction);
+  }
+  void operator()(const idempotency::SendClaimOutcome& aAction) const
+  {
+    SendToOwner(aAction);
+  }
+  void operator()(const idempotency::SendClaimRelease& aAction) const
+  {
+    SendToOwner(aAction);
+  }
+  void operator()(const idempotency::SendClaimQueryAnswer& aAction) const
+  {
+    mService.SendTo(aAction.mTo, ToWire(aAction));
+  }
+  void operator()(const idempotency::Dispatch& aAction) const
+  {
+    if (const auto observer = mService.TakeObserver(aAction.mAttempt)) {
+      observer->OnClaimGranted();
+    } else {
+      mService.OnNotStarted(aAction.mAttempt);
+    }
+  }
+  void operator()(const idempotency::AnswerNotRun& aAction) const
+  {
+    if (const auto observer = mService.TakeObserver(aAction.mAttempt)) {
+      observer->OnClaimNotRun(aAction.mReason);
+    }
+  }
+  void operator()(const idempotency::AnswerNotKnown& aAction) const
+  {
+    if (const auto observer = mService.TakeObserver(aAction.mAttempt)) {
+      observer->OnClaimNotKnown();
+    }
+  }
+  void operator()(const idempotency::AnswerRan& aAction) const
+  {
+    if (const auto observer = mService.TakeObserver(aAction.mAttempt)) {
+      observer->OnClaimRan(aAction.mOutcome);
+    }
+  }
+};
+
+struct ClaimService::LogVisitor
+{
+  ClaimService& mService;
+  PartitionNumber mPartition;
+
+  void operator()(const idempotency::ListSegments& aAction) const
+  {
+    mService.mStore.List(mPartition, aAction, mService.ResultFor(mPartition));
+  }
+  void operator()(const idempotency::ReadSegment& aAction) const
+  {
+    mService.mStore.Read(mPartition, aAction, mService.ResultFor(mPartition));
+  }
+  void operator()(const idempotency::WriteSegment& aAction) const
+  {
+    mService.mStore.Write(mPartition, aAction, mService.ResultFor(mPartition));
+  }
+  void operator()(const idempotency::DeleteSegment& aAction) const
+  {
+    mService.mStore.Delete(mPartition, aAction, mService.ResultFor(mPartition));
+  }
+  void operator()(const idempotency::SendClaimReply& aAction) const
+  {
+    mService.SendTo(aAction.mTo.mHost, ToWire(aAction));
+  }
+  void operator()(const idempotency::SendClaimQuery& aAction) const
+  {
+    mService.SendTo(aAction.mTo.mHost, ToWire(aAction));
+  }
+};
+
+ClaimService::ClaimService(const Shared& aShared, peer::Transport& aTransport,
+                           const ClusterNode& aCluster, ClaimStore& aStore)
+  : mShared(aShared)
+  , mTransport(aTransport)
+  , mCluster(aCluster)
+  , mStore(aStore)
+  , mClient(aShared.mIncarnation, ClientSettings(mRetention))
+{
+}
+
+void ClaimService::Start()
+{
+  mShared.mLoop.Every(kTick, [this] { OnTick(); });
+}
+
+void ClaimService::SetRetention(std::chrono::milliseconds aWindow)
+{
+  if (mRetention.mWindow != aWindow) {
+    base::LogInfo(base::LogLine("claim_retention_ignored")
+                    .With("reason", "it takes effect with a restart")
+                    .With("window_ms", aWindow.count()));
+  }
+}
+
+idempotency::Now ClaimService::Now() const
+{
+  return { mShared.mLoop.Now(), http::Loop::WallNow() };
+}
+
+PartitionNumber ClaimService::PartitionOf(const IdempotencyKey& aKey) const
+{
+  return idempotency::PartitionOf(
+    aKey,
+    idempotency::PartitionCount(mShared.mSettings.mClaimPartitions.Count()));
+}
+
+base::HostId ClaimService::OwnerOf(PartitionNumber aPartition) const
+{
+  // Several hosts may take themselves for the owner while their views differ;
+  // the conditional writes decide between them.
+  base::HostId owner = mShared.mSettings.mHost;
+  std::uint64_t best = 0;
+  for (const membership::HostView& it : mCluster.View()) {
+    const bool isSelf = it.mHost.mId == mShared.mSettings.mHost;
+    if (it.mState != membership::HostState::Alive && !isSelf) {
+      continue;
+    }
+    const std::uint64_t score =
+      base::CombineHash(base::Hash64(it.mHost.mId.Text()),
+                        base::Hash64("claims", aPartition.Count()));
+    if (score > best) {
+      best = score;
+      owner = it.mHost.mId;
+    }
+  }
+  return owner;
+}
+
+ClaimService::Log& ClaimService::LogOf(PartitionNumber aPartition)
+{
+  Log& log = mLogs[aPartition];
+  log.mLastUse = mShared.mLoop.Now();
+  if (!log.mLog) {
+    idempotency::ClaimLogSettings settings;
+    settings.mRetention = mRetention;
+    log.mLog =
+      std::make_unique<idempotency::ClaimLog>(settings, mShared.mRandom.Next());
+  }
+  return log;
+}
+
+void ClaimService::DropUnusedLogs()
+{
+  const base::TimePoint now = mShared.mLoop.Now();
+  for (auto it = mLogs.begin(); it != mLogs.end();) {
+    const bool isUnused = now - it->second.mLastUse > kUnusedLog &&
+                          it->second.mLog->WaitingCount() == 0 &&
+                          OwnerOf(it->first) != mShared.mSettings.mHost;
+    it = isUnused ? mLogs.erase(it) : std::next(it);
+  }
+}
+
+void ClaimService::OnTick()
+{
+  Enqueue([this] {
+    Execute(mClient.OnTick(Now()));
+    for (auto& [partition, log] : mLogs) {
+      Execute(partition, log.mLog->OnTick(Now()));
+    }
+    DropUnusedLogs();
+  });
+}
+
+void ClaimService::Enqueue(std::function<void()> aTask)
+{
+  mTasks.push_back(std::move(aTask));
+  if (std::exchange(mIsRunning, true)) {
+    return;
+  }
+  while (!mTasks.empty()) {
+    const std::function<void()> task = std::move(mTasks.front());
+    mTasks.pop_front();
+    task();
+  }
+  mIsRunning = false;
+}
+
+AttemptNumber ClaimService::Start(const IdempotencyKey& aKey,
+                                  idempotency::RequestHash aHash,
+                                  std::weak_ptr<ClaimObserver> aObserver)
+{
+  auto [attempt, actions] = mClient.Start(aKey, aHash, Now());
+  mObservers[attempt] = std::move(aObserver);
+  Enqueue([this, taken = std::move(actions)] { Execute(taken); });
+  return attempt;
+}
+
+void ClaimService::OnOutcome(AttemptNumber aAttempt,
+                             const idempotency::Outcome& aOutcome)
+{
+  Enqueue([this, actions = mClient.OnOutcome(aAttempt, aOutcome, Now())] {
+    Execute(actions);
+  });
+}
+
+void ClaimService::OnLost(AttemptNumber aAttempt)
+{
+  mClient.OnLost(aAttempt);
+}
+
+void ClaimService::OnNotStarted(AttemptNumber aAttempt)
+{
+  Enqueue(
+    [this, actions = mClient.OnNotStarted(aAttempt)] { Execute(actions); });
+}
+
+std::shared_ptr<ClaimObserver> ClaimService::TakeObserver(
+  AttemptNumber aAttempt)
+{
+  const auto it = mObservers.find(aAttempt);
+  if (it == mObservers.end()) {
+    return nullptr;
+  }
+  auto observer = it->second.lock();
+  mObservers.erase(it);
+  return observer;
+}
+
+void ClaimService::Execute(const idempotency::ClaimClientActions& aActions)
+{
+  for (const idempotency::ClaimClientAction& it : aActions) {
+    std::visit(ClientVisitor{ *this }, it);
+  }
+}
+
+void ClaimService::Execute(PartitionNumber aPartition,
+                           const idempotency::ClaimLogActions& aActions)
+{
+  for (const idempotency::ClaimLogAction& it : aActions) {
+    std::visit(LogVisitor{ *this, aPartition }, it);
+  }
+}
+
+ClaimStore::Done ClaimService::ResultFor(PartitionNumber aPartition)
+{
+  return [this, aPartition](const idempotency::PlatformResult& aResult) {
+    Enqueue([this, aPartition, aResult] {
+      // A result for a log that was dropped meanwhile has no use.
+      const auto it = mLogs.find(aPartition);
+      if (it != mLogs.end()) {
+        Execute(aPartition, it->second.mLog->OnResult(aResult, Now()));
+      }
+    });
+  };
+}
+
+void ClaimService::SendTo(const base::HostId& aHost,
+                          const protocol::Envelope& aEnvelope)
+{
+  if (aHost == mShared.mSettings.mHost) {
+    Enqueue([this, aEnvelope] {
+      Dispatch(mShared.mSettings.mHost, mShared.mIncarnation, aEnvelope);
+    });
+    return;
+  }
+  if (const auto endpoint = mCluster.PeerEndpoint(aHost)) {
+    mTransport.Send(*endpoint, aEnvelope);
+  }
+}
+
+void ClaimService::OnMessage(const protocol::Envelope& aEnvelope)
+{
+  Enqueue([this, aEnvelope] {
+    Dispatch(base::HostId(aEnvelope.sender()),
+             base::Incarnation(aEnvelope.sender_incarnation()), aEnvelope);
+  });
+}
+
+void ClaimService::Dispatch(const base::HostId& aFrom,
+                            base::Incarnation aIncarnation,
+                            const protocol::Envelope& aEnvelope)
+{
+  const auto holder = [&](std::uint64_t aAttempt) {
+    return ClaimHolder{ aFrom, aIncarnation, AttemptNumber(aAttempt) };
+  };
+  if (aEnvelope.has_claim_request()) {
+    HandleClaim(holder(aEnvelope.claim_request().attempt()),
+                aEnvelope.claim_request());
+  } else if (aEnvelope.has_claim_outcome()) {
+    HandleOutcome(holder(aEnvelope.claim_outcome().attempt()),
+                  aEnvelope.claim_outcome());
+  } else if (aEnvelope.has_claim_release()) {
+    HandleRelease(holder(aEnvelope.claim_release().attempt()),
+                  aEnvelope.claim_release());
+  } else if (aEnvelope.has_claim_reply()) {
+    HandleReply(aEnvelope.claim_reply());
+  } else if (aEnvelope.has_claim_query()) {
+    HandleQuery(aFrom, aEnvelope.claim_query());
+  } else if (aEnvelope.has_claim_query_reply()) {
+    HandleQueryReply(holder(aEnvelope.claim_query_reply().attempt()),
+                     aEnvelope.claim_query_reply());
+  }
+}
+
+void ClaimService::HandleClaim(const ClaimHolder& aHolder,
+                               const protocol::ClaimRequest& aMessage)
+{
+  const auto key = IdempotencyKey::FromBytes(aMessage.key());
+  if (!key) {
+    return;
+  }
+  const PartitionNumber partition = PartitionOf(*key);
+  const idempotency::ClaimCall call{
+    aHolder, *key, idempotency::RequestHash(aMessage.request_hash())
+  };
+  Execute(partition, LogOf(partition).mLog->OnClaim(call, Now()));
+}
+
+void ClaimService::HandleOutcome(const ClaimHolder& aHolder,
+                                 const protocol::ClaimOutcome& aMessage)
+{
+  const auto key = IdempotencyKey::FromBytes(aMessage.key());
+  if (!key) {
+    return;
+  }
+  const PartitionNumber partition = PartitionOf(*key);
+  Execute(partition, LogOf(partition).mLog->OnOutcome(
+                       *key, aHolder, ReadOutcome(aMessage), Now()));
+}
+
+void ClaimService::HandleRelease(const ClaimHolder& aHolder,
+                                 const protocol::ClaimRelease& aMessage)
+{
+  const auto key = IdempotencyKey::FromBytes(aMessage.key());
+  if (!key) {
+    return;
+  }
+  const PartitionNumber partition = PartitionOf(*key);
+  Execute(partition, LogOf(partition).mLog->OnRelease(*key, aHolder, Now()));
+}
+
+void ClaimService::HandleReply(const protocol::ClaimReply& aMessage)
+{
+  const auto verdict = FromWire(aMessage.verdict());
+  if (verdict) {
+    Execute(mClient.OnReply(AttemptNumber(aMessage.correlation()), *verdict,
+                            ReadOutcome(aMessage), Now()));
+  }
+}
+
+void ClaimService::HandleQuery(const base::HostId& aFrom,
+                               const protocol::ClaimQuery& aMessage)
+{
+  const auto key = IdempotencyKey::FromBytes(aMessage.key());
+  if (!key) {
+    return;
+  }
+  const ClaimHolder holder{ mShared.mSettings.mHost,
+                            base::Incarnation(aMessage.holder_incarnation()),
+                            AttemptNumber(aMessage.attempt()) };
+  Execute(mClient.OnQuery(aFrom, holder, *key, Now()));
+}
+
+void ClaimService::HandleQueryReply(const ClaimHolder& aHolder,
+                                    const protocol::ClaimQueryReply& aMessage)
+{
+  const auto key = IdempotencyKey::FromBytes(aMessage.key());
+  const auto state = FromWire(aMessage.state());
+  if (!key || !state) {
+    return;
+  }
+  const PartitionNumber partition = PartitionOf(*key);
+  const idempotency::ClaimQueryAnswer answer{ aHolder, *key, *state,
+                                              ReadOutcome(aMessage) };
+  Execute(partition, LogOf(partition).mLog->OnQueryAnswer(answer, Now()));
+}
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/ClaimService.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "daemon/src/ClaimGate.h"
+#include "daemon/src/ClaimStore.h"
+#include "daemon/src/ClusterNode.h"
+#include "daemon/src/Shared.h"
+
+#include "idempotency/Idempotency.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace auburnmux::daemon {
+
+/**
+ * Runs both sides of at most once at this host: the attempts of its own
+ * requests, and the logs of the partitions that it owns.
+ */
+class ClaimService final : public ClaimGate
+{
+public:
+  ClaimService(const Shared& aShared, peer::Transport& aTransport,
+               const ClusterNode& aCluster, ClaimStore& aStore);
+
+  void Start();
+  void SetRetention(std::chrono::milliseconds aWindow);
+  /** Takes a message about claims. */
+  void OnMessage(const protocol::Envelope& aEnvelope);
+
+  idempotency::AttemptNumber Start(
+    const idempotency::IdempotencyKey& aKey, idempotency::RequestHash aHash,
+    std::weak_ptr<ClaimObserver> aObserver) override;
+  void OnOutcome(idempotency::AttemptNumber aAttempt,
+                 const idempotency::Outcome& aOutcome) override;
+  void OnLost(idempotency::AttemptNumber aAttempt) override;
+  void OnNotStarted(idempotency::AttemptNumber aAttempt) override;
+
+  /** \returns attempts that are not settled. */
+  std::size_t OpenAttempts() const { return mClient.OpenCount(); }
+  std::size_t LogCount() const { return mLogs.size(); }
+
+private:
+  struct Log
+  {
+    std::unique_ptr<idempotency::ClaimLog> mLog;
+    base::TimePoint mLastUse;
+  };
+  struct ClientVisitor;
+  struct LogVisitor;
+
+  idempotency::Now Now() const;
+  idempotency::PartitionNumber PartitionOf(
+    const idempotency::IdempotencyKey& aKey) const;
+  base::HostId OwnerOf(idempotency::PartitionNumber aPartition) const;
+  Log& LogOf(idempotency::PartitionNumber aPartition);
+  void DropUnusedLogs();
+  void OnTick();
+
+  void SendTo(const base::HostId& aHost, const protocol::Envelope& aEnvelope);
+  void Dispatch(const base::HostId& aFrom, base::Incarnation aIncarnation,
+                const protocol::Envelope& aEnvelope);
+  void HandleClaim(const idempotency::ClaimHolder& aHolder,
+                   const protocol::ClaimRequest& aMessage);
+  void HandleOutcome(const idempotency::ClaimHolder& aHolder,
+                     const protocol::ClaimOutcome& aMessage);
+  void HandleRelease(const idempotency::ClaimHolder& aHolder,
+                     const protocol::ClaimRelease& aMessage);
+  void HandleReply(const protocol::ClaimReply& aMessage);
+  void HandleQuery(const base::HostId& aFrom,
+                   const protocol::ClaimQuery& aMessage);
+  void HandleQueryReply(const idempotency::ClaimHolder& aHolder,
+                        const protocol::ClaimQueryReply& aMessage);
+
+  void Execute(const idempotency::ClaimClientActions& aActions);
+  void Execute(idempotency::PartitionNumber aPartition,
+               const idempotency::ClaimLogActions& aActions);
+  std::shared_ptr<ClaimObserver> TakeObserver(
+    idempotency::AttemptNumber aAttempt);
+  ClaimStore::Done ResultFor(idempotency::PartitionNumber aPartition);
+  /** Runs \a aTask after those that run now, so that no event interrupts the
+   * handling of another one. */
+  void Enqueue(std::function<void()> aTask);
+
+  const Shared& mShared;
+  peer::Transport& mTransport;
+  const ClusterNode& mCluster;
+  ClaimStore& mStore;
+  idempotency::Retention mRetention;
+  idempotency::ClaimClient mClient;
+  std::map<idempotency::AttemptNumber, std::weak_ptr<ClaimObserver>> mObservers;
+  std::map<idempotency::PartitionNumber, Log> mLogs;
+  std::deque<std::function<void()>> mTasks;
+  bool mIsRunning = false;
+};
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/ClaimStore.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "idempotency/Idempotency.h"
+
+#include <functional>
+
+namespace auburnmux::daemon {
+
+/** Where the segments of claims are kept. */
+class ClaimStore
+{
+public:
+  /** Receives exactly one result for each call, never before its return. */
+  using Done = std::function<void(const idempotency::PlatformResult&)>;
+
+  virtual ~ClaimStore() = default;
+  virtual void List(idempotency::PartitionNumber aPartition,
+                    const idempotency::ListSegments& aCall, Done aDone) = 0;
+  virtual void Read(idempotency::PartitionNumber aPartition,
+                    const idempotency::ReadSegment& aCall, Done aDone) = 0;
+  virtual void Write(idempotency::PartitionNumber aPartition,
+                     const idempotency::WriteSegment& aCall, Done aDone) = 0;
+  virtual void Delete(idempotency::PartitionNumber aPartition,
+                      const idempotency::DeleteSegment& aCall, Done aDone) = 0;
+};
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/ClusterNode.cpp
@@ -0,0 +1,213 @@
+#include "daemon/src/ClusterNode.h"
+
+#include "daemon/src/WireBeat.h"
+
+#include <utility>
+
+namespace auburnmux::daemon {
+
+namespace {
+
+membership::MembershipSettings MakeSettings(const Shared& aShared)
+{
+  const config::HostSettings& it = aShared.mSettings;
+  membership::MembershipSettings settings;
+  settings.mSelf = { it.mHost,      aShared.mIncarnation, it.mDataCentre,
+                     it.mRegion,    it.mListen.mAddress,  it.mListen.mPort,
+                     it.mPeer.mPort };
+  for (const config::Seed& seed : it.mSeeds) {
+    settings.mSeeds.push_back({ seed.mPeer.mAddress, seed.mPeer.mPort });
+  }
+  return settings;
+}
+
+const char* StateText(membership::HostState aState)
+{
+  switch (aState) {
+    case membership::HostState::Alive:
+      return "alive";
+    case membership::HostState::Suspect:
+      return "suspect";
+    case membership::HostState::Leaving:
+      return "leaving";
+    case membership::HostState::Dead:
+      return "dead";
+  }
+  return "unknown";
+}
+
+http::Endpoint ToEndpoint(const membership::PeerAddress& aAddress)
+{
+  return { aAddress.mAddress, aAddress.mPort };
+}
+
+} // namespace
+
+struct ClusterNode::ActionVisitor
+{
+  ClusterNode& mNode;
+
+  void operator()(const membership::SendHeartbeat& aAction) const
+  {
+    mNode.mTransport.Send(ToEndpoint(aAction.mTo), ToHeartbeat(aAction.mBeat));
+  }
+  void operator()(const membership::SendHeartbeatAck& aAction) const
+  {
+    mNode.mTransport.Send(ToEndpoint(aAction.mTo),
+                          ToHeartbeatAck(aAction.mBeat));
+  }
+  void operator()(const membership::HostChanged& aAction) const
+  {
+    base::LogLine line("host_changed");
+    line.With("host", aAction.mHost.mId)
+      .With("state", StateText(aAction.mState))
+      .With("incarnation", aAction.mHost.mIncarnation);
+    for (const base::HostId& it : aAction.mConfirmedBy) {
+      line.With("confirmed_by", it);
+    }
+    base::LogInfo(line);
+    mNode.mShared.mMetrics.Count("auburnmux_host_changes_total",
+                                 { { "state", StateText(aAction.mState) } });
+  }
+  void operator()(const membership::ConfigAnnounced& aAction) const
+  {
+    mNode.mVersionAnnounced(ToEndpoint(aAction.mHost.Peer()), aAction.mVersion);
+  }
+};
+
+ClusterNode::ClusterNode(const Shared& aShared, peer::Transport& aTransport,
+                         ViewChanged aViewChanged,
+                         VersionAnnounced aVersionAnnounced)
+  : mShared(aShared)
+  , mTransport(aTransport)
+  , mViewChanged(std::move(aViewChanged))
+  , mVersionAnnounced(std::move(aVersionAnnounced))
+  , mMembership(MakeSettings(aShared), aShared.mLoop.Now(),
+                base::Random(aShared.mRandom.Next()))
+{
+  mView = mMembership.View();
+}
+
+void ClusterNode::Start()
+{
+  mShared.mLoop.Every(membership::Timing().mTick, [this] {
+    Execute(mMembership.OnTick(mShared.mLoop.Now()));
+  });
+}
+
+void ClusterNode::OnMessage(const protocol::Envelope& aEnvelope)
+{
+  const base::TimePoint now = mShared.mLoop.Now();
+  if (aEnvelope.has_heartbeat()) {
+    if (const auto beat = FromWire(aEnvelope.heartbeat())) {
+      Execute(mMembership.OnHeartbeat(now, *beat));
+    }
+  } else if (aEnvelope.has_heartbeat_ack()) {
+    if (const auto beat = FromWire(aEnvelope.heartbeat_ack())) {
+      Execute(mMembership.OnHeartbeatAck(now, *beat));
+    }
+  }
+}
+
+void ClusterNode::OnPlatformList(
+  const std::vector<membership::Candidate>& aList)
+{
+  mMembership.OnPlatformList(aList);
+}
+
+void ClusterNode::StartLeaving()
+{
+  mIsLeaving = true;
+  Execute(mMembership.StartLeaving(mShared.mLoop.Now()));
+}
+
+void ClusterNode::SetConfigVersion(base::ConfigVersion aVersion)
+{
+  Execute(mMembership.SetConfigVersion(mShared.mLoop.Now(), aVersion));
+}
+
+void ClusterNode::Execute(const membership::Actions& aActions)
+{
+  for (const membership::Action& it : aActions) {
+    std::visit(ActionVisitor{ *this }, it);
+  }
+  RefreshView();
+}
+
+void ClusterNode::RefreshView()
+{
+  const std::uint64_t version = mMembership.ViewVersion();
+  if (std::exchange(mViewVersion, version) != version) {
+    mView = mMembership.View();
+    mViewChanged();
+  }
+}
+
+const membership::HostView* ClusterNode::Find(const base::HostId& aHost) const
+{
+  for (const membership::HostView& it : mView) {
+    if (it.mHost.mId == aHost) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+std::optional<http::Endpoint> ClusterNode::PeerEndpoint(
+  const base::HostId& aHost) const
+{
+  const membership::HostView* host = Find(aHost);
+  return host == nullptr ? std::nullopt
+                         : std::optional(ToEndpoint(host->mHost.Peer()));
+}
+
+std::optional<http::Endpoint> ClusterNode::HttpEndpoint(
+  const base::HostId& aHost) const
+{
+  const membership::HostView* host = Find(aHost);
+  if (host == nullptr) {
+    return std::nullopt;
+  }
+  return http::Endpoint{ host->mHost.mAddress, host->mHost.mHttpPort };
+}
+
+std::vector<membership::HostView> ClusterNode::LiveHosts() const
+{
+  std::vector<membership::HostView> live;
+  for (const membership::HostView& it : mView) {
+    const bool isGone = it.mState == membership::HostState::Dead ||
+                        it.mState == membership::HostState::Leaving;
+    if (!isGone || it.mHost.mId == mShared.mSettings.mHost) {
+      live.push_back(it);
+    }
+  }
+  return live;
+}
+
+std::vector<base::HostId> ClusterNode::LiveHostsHere() const
+{
+  std::vector<base::HostId> hosts;
+  for (const membership::HostView& it : LiveHosts()) {
+    if (it.mHost.mDataCentre == mShared.mSettings.mDataCentre) {
+      hosts.push_back(it.mHost.mId);
+    }
+  }
+  return hosts;
+}
+
+bool ClusterNode::IsFirstHere(std::string_view aDuty) const
+{
+  const std::uint64_t duty = base::Hash64(aDuty);
+  const auto rank = [duty](const base::HostId& aHost) {
+    return base::CombineHash(base::Hash64(aHost.Text()), duty);
+  };
+  const std::uint64_t own = rank(mShared.mSettings.mHost);
+  for (const base::HostId& it : LiveHostsHere()) {
+    if (rank(it) > own) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/ConfigService.cpp
@@ -0,0 +1,260 @@
+#include "daemon/src/ConfigService.h"
+
+#include <utility>
+
+namespace auburnmux::daemon {
+
+namespace {
+
+constexpr base::Duration kTick = std::chrono::milliseconds(100);
+
+// A host that isn't the watcher of its data centre reads the pointer this
+// rarely, to confirm what it has from peers.
+constexpr base::Duration kConfirmInterval = std::chrono::minutes(10);
+
+// While a host has no snapshot it asks more often.
+constexpr base::Duration kFirstReadInterval = std::chrono::seconds(2);
+
+constexpr base::Duration kBackoffBase = std::chrono::milliseconds(500);
+constexpr base::Duration kBackoffCap = std::chrono::seconds(15);
+
+// A request to a peer that stays unanswered is repeated after this.
+constexpr base::Duration kPeerRequestInterval = std::chrono::milliseconds(300);
+
+constexpr const char* kWatchDuty = "config-watch";
+
+const char* ReasonText(config::OfferRejected::Reason aReason)
+{
+  switch (aReason) {
+    case config::OfferRejected::Reason::WrongDigest:
+      return "wrong_digest";
+    case config::OfferRejected::Reason::VersionConflict:
+      return "version_conflict";
+    case config::OfferRejected::Reason::Unusable:
+      return "unusable";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+ConfigService::ConfigService(const Shared& aShared, peer::Transport& aTransport,
+                             ClusterNode& aCluster,
+                             platform::PlatformClient& aPlatform,
+                             Changed aChanged)
+  : mShared(aShared)
+  , mTransport(aTransport)
+  , mCluster(aCluster)
+  , mPlatform(aPlatform)
+  , mChanged(std::move(aChanged))
+  , mBackoff(kBackoffBase, kBackoffCap)
+{
+}
+
+void ConfigService::Start()
+{
+  mShared.mLoop.Every(kTick, [this] { OnTick(); });
+}
+
+bool ConfigService::IsWatcher() const
+{
+  return mCluster.IsFirstHere(kWatchDuty);
+}
+
+void ConfigService::OnTick()
+{
+  if (mIsCalling || mDownload || mShared.mLoop.Now() < mNextCall) {
+    return;
+  }
+  mIsCalling = true;
+  // The first call of a host is a plain read: a watch waits for a publish.
+  if (IsWatcher() && mPointerVersion != base::ObjectVersion(0)) {
+    Watch();
+  } else {
+    Read();
+  }
+}
+
+void ConfigService::Watch()
+{
+  const platform::CallOptions options{ platform::CallPurpose::ConfigWatch,
+                                       platform::kWatchTimeout };
+  mPlatform.Watch(
+    config::kCurrentObject, mPointerVersion, options,
+    [this](const platform::WatchResult& aResult) {
+      mIsCalling = false;
+      if (const auto* found = std::get_if<platform::ObjectFound>(&aResult)) {
+        OnPointerBytes(found->mVersion, found->mBytes);
+      } else if (std::holds_alternative<platform::ObjectUnchanged>(aResult)) {
+        mBackoff.Reset();
+        mState.NotePlatformVersion(mState.Tag(), mShared.mLoop.Now());
+      } else {
+        OnCallFailed();
+      }
+    });
+}
+
+void ConfigService::Read()
+{
+  const platform::CallOptions options{ platform::CallPurpose::ConfigRead };
+  mPlatform.Get(
+    config::kCurrentObject, options,
+    [this](const platform::GetResult& aResult) {
+      mIsCalling = false;
+      if (const auto* found = std::get_if<platform::ObjectFound>(&aResult)) {
+        const bool hasSnapshot = mState.InForce() != nullptr;
+        mNextCall = mShared.mLoop.Now() +
+                    (hasSnapshot && !IsWatcher() ? kConfirmInterval : kTick);
+        OnPointerBytes(found->mVersion, found->mBytes);
+      } else if (std::holds_alternative<platform::ObjectNotFound>(aResult)) {
+        mNextCall = mShared.mLoop.Now() + kFirstReadInterval;
+      } else {
+        OnCallFailed();
+      }
+    });
+}
+
+void ConfigService::OnCallFailed()
+{
+  // All hosts lose the platform together, so they come back spread out.
+  const auto hosts = static_cast<std::uint32_t>(mCluster.LiveHosts().size());
+  mNextCall =
+    mShared.mLoop.Now() + mBackoff.Next(mShared.mRandom) +
+    platform::ReconnectDelay(platform::HostCount(hosts), mShared.mRandom);
+  if (!std::exchange(mWasUnreachable, true)) {
+    base::LogWarning(base::LogLine("platform_unreachable")
+                       .With("version", mState.Tag().mVersion));
+  }
+}
+
+void ConfigService::OnPointerBytes(base::ObjectVersion aVersion,
+                                   const std::string& aBytes)
+{
+  mBackoff.Reset();
+  mWasUnreachable = false;
+  const auto decoded = config::DecodePointer(aBytes);
+  const auto* pointer = std::get_if<config::CurrentPointer>(&decoded);
+  if (pointer == nullptr) {
+    base::LogWarning(
+      base::LogLine("config_pointer_rejected")
+        .With("detail", std::get<config::SnapshotError>(decoded).mDetail));
+    mNextCall = mShared.mLoop.Now() + kFirstReadInterval;
+    return;
+  }
+  if (aVersion > mPointerVersion) {
+    mPointerVersion = aVersion;
+  }
+  if (mState.NotePlatformVersion(pointer->mCurrent.mTag, mShared.mLoop.Now())) {
+    mDownload = Download{ *pointer,
+                          config::PartNames(pointer->mCurrent.mTag.mDigest,
+                                            pointer->mParts),
+                          {} };
+    FetchNextPart();
+  }
+}
+
+void ConfigService::FetchNextPart()
+{
+  const platform::CallOptions options{ platform::CallPurpose::ConfigRead };
+  const std::string name = mDownload->mNames.front();
+  mPlatform.Get(name, options, [this](const platform::GetResult& aResult) {
+    const auto* found = std::get_if<platform::ObjectFound>(&aResult);
+    if (found == nullptr) {
+      mDownload.reset();
+      // The pointer is read again, which starts the download anew.
+      mPointerVersion = base::ObjectVersion(0);
+      OnCallFailed();
+      return;
+    }
+    mDownload->mBytes += found->mBytes;
+    mDownload->mNames.erase(mDownload->mNames.begin());
+    if (!mDownload->mNames.empty()) {
+      FetchNextPart();
+      return;
+    }
+    const Download download = *std::exchange(mDownload, std::nullopt);
+    const config::PublishedVersion& version = download.mPointer.mCurrent;
+    Take({ version.mTag, download.mBytes, config::FromPlatform{},
+           version.mPublishedAt });
+    mState.NotePlatformVersion(version.mTag, mShared.mLoop.Now());
+  });
+}
+
+void ConfigService::OnVersionAnnounced(const http::Endpoint& aPeer,
+                                       base::ConfigVersion aVersion)
+{
+  const base::TimePoint now = mShared.mLoop.Now();
+  const bool isPending = aVersion <= mRequested && now < mNextPeerRequest;
+  if (aVersion <= mState.Tag().mVersion || isPending) {
+    return;
+  }
+  mRequested = aVersion;
+  mNextPeerRequest = now + kPeerRequestInterval;
+  protocol::Envelope envelope;
+  envelope.mutable_snapshot_request()->set_above_version(
+    mState.Tag().mVersion.Count());
+  mTransport.Send(aPeer, envelope);
+}
+
+void ConfigService::OnMessage(const protocol::Envelope& aEnvelope)
+{
+  const base::HostId from(aEnvelope.sender());
+  if (aEnvelope.has_snapshot_request()) {
+    OnSnapshotRequest(from, aEnvelope.snapshot_request());
+  } else if (aEnvelope.has_snapshot_reply()) {
+    OnSnapshotReply(from, aEnvelope.snapshot_reply());
+  }
+}
+
+void ConfigService::OnSnapshotRequest(const base::HostId& aFrom,
+                                      const protocol::SnapshotRequest& aMessage)
+{
+  const auto endpoint = mCluster.PeerEndpoint(aFrom);
+  const std::uint64_t version = mState.Tag().mVersion.Count();
+  if (!endpoint || version <= aMessage.above_version()) {
+    return;
+  }
+  protocol::Envelope envelope;
+  auto& reply = *envelope.mutable_snapshot_reply();
+  reply.set_version(version);
+  reply.set_digest(mState.Tag().mDigest.Text());
+  reply.set_snapshot(mState.Bytes());
+  reply.set_published_ms(static_cast<std::uint64_t>(
+    mState.PublishedAt().time_since_epoch().count()));
+  mTransport.Send(*endpoint, envelope);
+}
+
+void ConfigService::OnSnapshotReply(const base::HostId& aFrom,
+                                    const protocol::SnapshotReply& aMessage)
+{
+  const config::VersionTag tag{ base::ConfigVersion(aMessage.version()),
+                                config::Digest(aMessage.digest()) };
+  const base::WallTime published{ std::chrono::milliseconds(
+    aMessage.published_ms()) };
+  Take({ tag, aMessage.snapshot(), config::FromPeer{ aFrom }, published });
+}
+
+void ConfigService::Take(const config::SnapshotOffer& aOffer)
+{
+  const auto result = mState.Offer(aOffer, mShared.mLoop.Now());
+  if (const auto* rejected = std::get_if<config::OfferRejected>(&result)) {
+    base::LogWarning(base::LogLine("config_rejected")
+                       .With("version", rejected->mTag.mVersion)
+                       .With("reason", ReasonText(rejected->mReason))
+                       .With("detail", rejected->mDetail));
+    return;
+  }
+  if (!std::holds_alternative<config::OfferAccepted>(result)) {
+    return;
+  }
+  const bool isFromPlatform =
+    std::holds_alternative<config::FromPlatform>(aOffer.mSource);
+  base::LogInfo(base::LogLine("config_in_force")
+                  .With("version", mState.Tag().mVersion)
+                  .With("digest", mState.Tag().mDigest)
+                  .With("source", isFromPlatform ? "platform" : "peer"));
+  mChanged(*mState.InForce());
+  mCluster.SetConfigVersion(mState.Tag().mVersion);
+}
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/ConfigService.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "daemon/src/ClusterNode.h"
+#include "daemon/src/Shared.h"
+
+#include "config/Config.h"
+#include "platform/Platform.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace auburnmux::daemon {
+
+/** Keeps the newest accepted snapshot, from the platform and from peers. */
+class ConfigService
+{
+public:
+  using Changed = std::function<void(const config::Snapshot&)>;
+
+  ConfigService(const Shared& aShared, peer::Transport& aTransport,
+                ClusterNode& aCluster, platform::PlatformClient& aPlatform,
+                Changed aChanged);
+
+  void Start();
+  /** Takes a message about snapshots. */
+  void OnMessage(const protocol::Envelope& aEnvelope);
+  /** A peer has a version in force. */
+  void OnVersionAnnounced(const http::Endpoint& aPeer,
+                          base::ConfigVersion aVersion);
+
+  const config::ConfigState& State() const { return mState; }
+
+private:
+  /** A snapshot whose parts are being read from the platform. */
+  struct Download
+  {
+    config::CurrentPointer mPointer;
+    std::vector<std::string> mNames;
+    std::string mBytes;
+  };
+
+  void OnTick();
+  bool IsWatcher() const;
+  void Watch();
+  void Read();
+  void OnPointerBytes(base::ObjectVersion aVersion, const std::string& aBytes);
+  void OnCallFailed();
+  void FetchNextPart();
+  void OnSnapshotRequest(const base::HostId& aFrom,
+                         const protocol::SnapshotRequest& aMessage);
+  void OnSnapshotReply(const base::HostId& aFrom,
+                       const protocol::SnapshotReply& aMessage);
+  void Take(const config::SnapshotOffer& aOffer);
+
+  const Shared& mShared;
+  peer::Transport& mTransport;
+  ClusterNode& mCluster;
+  platform::PlatformClient& mPlatform;
+  Changed mChanged;
+  config::ConfigState mState;
+  base::ObjectVersion mPointerVersion;
+  std::optional<Download> mDownload;
+  platform::Backoff mBackoff;
+  bool mIsCalling = false;
+  bool mWasUnreachable = false;
+  base::TimePoint mNextCall;
+  base::TimePoint mNextPeerRequest;
+  base::ConfigVersion mRequested;
+};
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/Daemon.cpp
@@ -0,0 +1,275 @@
+#include "daemon/src/Daemon.h"
+
+#include "daemon/src/AdminPages.h"
+#include "daemon/src/Carriage.h"
+#include "daemon/src/ClaimService.h"
+#include "daemon/src/ClusterNode.h"
+#include "daemon/src/ConfigService.h"
+#include "daemon/src/GracefulStop.h"
+#include "daemon/src/LookupService.h"
+#include "daemon/src/PlatformClaimStore.h"
+
+#include <random>
+
+namespace auburnmux::daemon {
+
+namespace {
+
+constexpr base::Duration kLookupTick = std::chrono::seconds(1);
+constexpr base::Duration kHostListInterval = std::chrono::seconds(30);
+
+/** Used until grants exist: work stays in the data centre. */
+class NoSpill final : public SpillGate
+{
+public:
+  std::optional<SpillTicket> Take(const base::ServiceId&) override
+  {
+    return std::nullopt;
+  }
+  void Return(const base::ServiceId&, const SpillTicket&) override {}
+};
+
+peer::TransportSettings MakeTransportSettings(
+  const config::HostSettings& aSettings, base::Incarnation aIncarnation)
+{
+  peer::TransportSettings settings;
+  settings.mSelf = aSettings.mHost;
+  settings.mIncarnation = aIncarnation;
+  settings.mListen = { aSettings.mPeer.mAddress, aSettings.mPeer.mPort };
+  if (aSettings.mFleetKey) {
+    settings.mKey = peer::FleetKey{ aSettings.mFleetKey->mPublic,
+                                    aSettings.mFleetKey->mSecret };
+  }
+  return settings;
+}
+
+base::Incarnation CurrentIncarnation()
+{
+  return base::Incarnation(static_cast<std::uint64_t>(
+    http::Loop::WallNow().time_since_epoch().count()));
+}
+
+} // namespace
+
+struct Daemon::Impl
+{
+  config::HostSettings mSettings;
+  http::Loop mLoop;
+  http::Client mClient{ mLoop };
+  base::Random mRandom{ std::random_device{}() };
+  telemetry::Metrics mMetrics;
+  telemetry::SpanLog mSpans;
+  Shared mShared;
+  peer::Transport mTransport;
+  platform::PlatformClient mPlatform;
+  ClusterNode mCluster;
+  ConfigService mConfig;
+  LookupService mLookup;
+  PlatformClaimStore mClaimStore;
+  ClaimService mClaims;
+  NoSpill mSpill;
+  retries::CrashQuarantine mQuarantine;
+  Carriage mCarriage;
+  AdminPages mPages;
+  http::Server mServer;
+  GracefulStop mStop;
+
+  Impl(const config::HostSettings& aSettings, Mechanisms aMechanisms);
+
+  void Start();
+  void OnRequest(std::shared_ptr<http::ServerExchange> aExchange);
+  void OnEnvelope(const protocol::Envelope& aEnvelope);
+  void OnViewChanged();
+  void OnConfigChanged(const config::Snapshot& aSnapshot);
+  void ReportCrash(const base::ServiceId& aService,
+                   const retries::CrashRecord& aRecord);
+  void OnCrashReport(const protocol::CrashReport& aMessage);
+  void ReadHostList();
+};
+
+Daemon::Impl::Impl(const config::HostSettings& aSettings,
+                   Mechanisms aMechanisms)
+  : mSettings(aSettings)
+  , mShared{ mLoop,
+             mClient,
+             mRandom,
+             mMetrics,
+             mSpans,
+             mSettings,
+             CurrentIncarnation(),
+             aMechanisms }
+  , mTransport(mLoop, MakeTransportSettings(mSettings, mShared.mIncarnation),
+               [this](const protocol::Envelope& aIt) { OnEnvelope(aIt); })
+  , mPlatform(mLoop, mClient,
+              { mSettings.mPlatform.mAddress, mSettings.mPlatform.mPort })
+  , mCluster(
+      mShared, mTransport, [this] { OnViewChanged(); },
+      [this](const http::Endpoint& aPeer, base::ConfigVersion aVersion) {
+        mConfig.OnVersionAnnounced(aPeer, aVersion);
+      })
+  , mConfig(mShared, mTransport, mCluster, mPlatform,
+            [this](const config::Snapshot& aIt) { OnConfigChanged(aIt); })
+  , mLookup(mShared, mCluster)
+  , mClaimStore(mPlatform)
+  , mClaims(mShared, mTransport, mCluster, mClaimStore)
+  , mCarriage(mShared, mCluster,
+              { mClaims, mSpill, mQuarantine,
+                [this](const base::ServiceId& aService,
+                       const retries::CrashRecord& aRecord) {
+                  ReportCrash(aService, aRecord);
+                } })
+  , mPages(
+      { mShared, mCluster, mConfig, mLookup, mCarriage, mTransport, mPlatform })
+  , mServer(mLoop, { mSettings.mListen.mAddress, mSettings.mListen.mPort },
+            [this](std::shared_ptr<http::ServerExchange> aExchange) {
+              OnRequest(std::move(aExchange));
+            })
+  , mStop(mShared, mCluster, mCarriage, mServer,
+          [this] { mLookup.OnViewChanged(); })
+{
+}
+
+void Daemon::Impl::Start()
+{
+  mCluster.Start();
+  mConfig.Start();
+  mClaims.Start();
+  mCarriage.Start();
+  mStop.Start();
+  mLookup.OnViewChanged();
+  mLoop.Every(kLookupTick, [this] { mLookup.OnTick(); });
+  mLoop.Every(kHostListInterval, [this] { ReadHostList(); });
+}
+
+void Daemon::Impl::OnRequest(std::shared_ptr<http::ServerExchange> aExchange)
+{
+  if (!mPages.Handle(*aExchange)) {
+    mCarriage.Accept(std::move(aExchange));
+  }
+}
+
+void Daemon::Impl::OnEnvelope(const protocol::Envelope& aEnvelope)
+{
+  switch (aEnvelope.body_case()) {
+    case protocol::Envelope::kHeartbeat:
+    case protocol::Envelope::kHeartbeatAck:
+      mCluster.OnMessage(aEnvelope);
+      return;
+    case protocol::Envelope::kSnapshotRequest:
+    case protocol::Envelope::kSnapshotReply:
+      mConfig.OnMessage(aEnvelope);
+      return;
+    case protocol::Envelope::kClaimRequest:
+    case protocol::Envelope::kClaimReply:
+    case protocol::Envelope::kClaimOutcome:
+    case protocol::Envelope::kClaimRelease:
+    case protocol::Envelope::kClaimQuery:
+    case protocol::Envelope::kClaimQueryReply:
+      mClaims.OnMessage(aEnvelope);
+      return;
+    case protocol::Envelope::kCrashReport:
+      OnCrashReport(aEnvelope.crash_report());
+      return;
+    default:
+      return;
+  }
+}
+
+void Daemon::Impl::OnViewChanged()
+{
+  mLookup.OnViewChanged();
+  if (const config::Snapshot* snapshot = mConfig.State().InForce()) {
+    mCarriage.Configure(*snapshot);
+  }
+}
+
+void Daemon::Impl::OnConfigChanged(const config::Snapshot& aSnapshot)
+{
+  mLookup.Configure(aSnapshot.mTopology);
+  mCarriage.Configure(aSnapshot);
+}
+
+void Daemon::Impl::ReportCrash(const base::ServiceId& aService,
+                               const retries::CrashRecord& aRecord)
+{
+  base::LogWarning(base::LogLine("upstream_crash")
+                     .With("service", aService)
+                     .With("fingerprint", aRecord.mFingerprint)
+                     .With("upstreams", aRecord.mUpstreams.size()));
+  protocol::Envelope envelope;
+  auto& message = *envelope.mutable_crash_report();
+  message.set_request_hash(aRecord.mFingerprint.Count());
+  message.set_service(aService.Text());
+  for (const base::UpstreamId& it : aRecord.mUpstreams) {
+    message.add_upstreams(it.Text());
+  }
+  for (const membership::HostView& it : mCluster.LiveHosts()) {
+    if (it.mHost.mId != mSettings.mHost) {
+      const membership::PeerAddress peer = it.mHost.Peer();
+      mTransport.Send({ peer.mAddress, peer.mPort }, envelope);
+    }
+  }
+}
+
+void Daemon::Impl::OnCrashReport(const protocol::CrashReport& aMessage)
+{
+  constexpr int kMaxUpstreams = 16;
+  if (aMessage.upstreams_size() > kMaxUpstreams) {
+    return;
+  }
+  retries::CrashRecord record;
+  record.mFingerprint = retries::Fingerprint(aMessage.request_hash());
+  for (const std::string& it : aMessage.upstreams()) {
+    record.mUpstreams.emplace_back(it);
+  }
+  mQuarantine.Merge(mLoop.Now(), record);
+}
+
+void Daemon::Impl::ReadHostList()
+{
+  if (!mCluster.IsFirstHere("host-list")) {
+    return;
+  }
+  mPlatform.Hosts(
+    { platform::CallPurpose::HostList },
+    [this](const platform::HostsResult& aResult) {
+      const auto* hosts =
+        std::get_if<std::vector<platform::ListedHost>>(&aResult);
+      if (hosts == nullptr) {
+        return;
+      }
+      std::vector<membership::Candidate> candidates;
+      for (const platform::ListedHost& it : *hosts) {
+        candidates.push_back(
+          { it.mId, { it.mEndpoint.mAddress, it.mEndpoint.mPort } });
+      }
+      mCluster.OnPlatformList(candidates);
+    });
+}
+
+Daemon::Daemon(const config::HostSettings& aSettings, Mechanisms aMechanisms)
+  : mImpl(std::make_unique<Impl>(aSettings, aMechanisms))
+{
+}
+
+Daemon::~Daemon() = default;
+
+int Daemon::Run()
+{
+  if (!mImpl->mServer.IsListening() || !mImpl->mTransport.IsListening()) {
+    base::LogWarning(base::LogLine("start_failed")
+                       .With("reason", "an address can't be bound"));
+    return 1;
+  }
+  base::LogInfo(base::LogLine("start")
+                  .With("host", mImpl->mSettings.mHost)
+                  .With("data_centre", mImpl->mSettings.mDataCentre)
+                  .With("listen", mImpl->mSettings.mListen.Text())
+                  .With("incarnation", mImpl->mShared.mIncarnation));
+  mImpl->Start();
+  mImpl->mLoop.Run();
+  base::LogInfo(base::LogLine("stop").With("host", mImpl->mSettings.mHost));
+  return 0;
+}
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/GracefulStop.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "daemon/src/Carriage.h"
+#include "daemon/src/ClusterNode.h"
+#include "daemon/src/Shared.h"
+
+#include "http/Http.h"
+
+#include <functional>
+
+namespace auburnmux::daemon {
+
+/**
+ * A planned stop: on SIGTERM or SIGINT look-ups stop naming this host, peers
+ * learn, callers are told to move on, requests in flight finish, and the loop
+ * ends. A second signal or the drain limit ends it sooner.
+ */
+class GracefulStop
+{
+public:
+  GracefulStop(const Shared& aShared, ClusterNode& aCluster,
+               Carriage& aCarriage, http::Server& aServer,
+               std::function<void()> aLeaving);
+  ~GracefulStop();
+  GracefulStop(const GracefulStop&) = delete;
+  GracefulStop& operator=(const GracefulStop&) = delete;
+
+  /** Blocks the signals and watches for them. */
+  void Start();
+
+private:
+  void OnSignal();
+  void Begin();
+  void OnTick();
+  void End();
+
+  const Shared& mShared;
+  ClusterNode& mCluster;
+  Carriage& mCarriage;
+  http::Server& mServer;
+  std::function<void()> mLeaving;
+  int mSignals = -1;
+  bool mIsLeaving = false;
+  base::TimePoint mBegin;
+};
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/LookupService.cpp
@@ -0,0 +1,133 @@
+#include "daemon/src/LookupService.h"
+
+#include <arpa/inet.h>
+
+namespace auburnmux::daemon {
+
+namespace {
+
+std::optional<lookup::Ipv4> ParseIpv4(const std::string& aText)
+{
+  in_addr address{};
+  if (inet_pton(AF_INET, aText.c_str(), &address) != 1) {
+    return std::nullopt;
+  }
+  return ntohl(address.s_addr);
+}
+
+lookup::HostFitness FitnessOf(membership::HostState aState)
+{
+  switch (aState) {
+    case membership::HostState::Alive:
+      return lookup::HostFitness::Usable;
+    case membership::HostState::Suspect:
+      return lookup::HostFitness::Suspect;
+    case membership::HostState::Leaving:
+    case membership::HostState::Dead:
+      return lookup::HostFitness::Excluded;
+  }
+  return lookup::HostFitness::Excluded;
+}
+
+/** Callers of one /24 block are ranked alike. */
+std::uint64_t BlockOf(lookup::Ipv4 aAddress)
+{
+  return aAddress >> 8U;
+}
+
+} // namespace
+
+LookupService::LookupService(const Shared& aShared, const ClusterNode& aCluster)
+  : mShared(aShared)
+  , mCluster(aCluster)
+  , mRanking(lookup::RankingSettings(), aShared.mLoop.Now())
+{
+}
+
+void LookupService::Configure(const config::TopologyFile& aTopology)
+{
+  std::vector<lookup::Block<lookup::Ipv4>> blocks;
+  mSites.clear();
+  for (const config::Site& site : aTopology.mSites) {
+    const lookup::SiteNumber number(static_cast<std::uint16_t>(mSites.size()));
+    mSites.push_back(site.mDataCentre);
+    for (const config::AddressPrefix& it : site.mBlocks) {
+      blocks.push_back(
+        { it.mAddress, lookup::PrefixLength(it.mLength), number });
+    }
+  }
+  const auto error =
+    mBlocks.Build(lookup::BlockVersion(++mBlockVersion), std::move(blocks), {});
+  if (error != lookup::BlockError::None) {
+    base::LogWarning(base::LogLine("client_blocks_rejected")
+                       .With("error", static_cast<int>(error)));
+  }
+}
+
+void LookupService::OnViewChanged()
+{
+  std::vector<lookup::RankedHost> hosts;
+  for (const membership::HostView& it : mCluster.View()) {
+    const bool isSelfLeaving =
+      it.mHost.mId == mShared.mSettings.mHost && mCluster.IsLeaving();
+    lookup::RankedHost host;
+    host.mId = it.mHost.mId;
+    host.mIncarnation = it.mHost.mIncarnation;
+    host.mDataCentre = it.mHost.mDataCentre;
+    host.mRegion = it.mHost.mRegion;
+    host.mFitness =
+      isSelfLeaving ? lookup::HostFitness::Excluded : FitnessOf(it.mState);
+    hosts.push_back(std::move(host));
+  }
+  mRanking.SetHosts(mShared.mLoop.Now(), hosts);
+}
+
+void LookupService::OnTick()
+{
+  mRanking.OnTick(mShared.mLoop.Now());
+}
+
+std::optional<lookup::CentreIndex> LookupService::CentreOf(
+  const std::string& aAddress,
+  const std::optional<std::string>& aDataCentre) const
+{
+  if (aDataCentre) {
+    return mRanking.FindCentre(base::DataCentreId(*aDataCentre));
+  }
+  const auto address = ParseIpv4(aAddress);
+  const auto site = address ? mBlocks.Find(*address) : std::nullopt;
+  if (site && site->Count() < mSites.size()) {
+    return mRanking.FindCentre(mSites[site->Count()]);
+  }
+  return mRanking.FindCentre(mShared.mSettings.mDataCentre);
+}
+
+std::string LookupService::Answer(
+  const base::ServiceId& aService, const std::string& aAddress,
+  const std::optional<std::string>& aDataCentre) const
+{
+  const auto address = ParseIpv4(aAddress);
+  const lookup::LookupDecision decision =
+    mRanking.Decide(CentreOf(aAddress, aDataCentre),
+                    lookup::HashBlock(BlockOf(address.value_or(0))));
+  const auto lifetime =
+    std::chrono::duration_cast<std::chrono::seconds>(decision.mLifetime);
+  std::string text = R"({"service":")" + aService.Text() +
+                     R"(","lifetime_s":)" + std::to_string(lifetime.count()) +
+                     R"(,"hosts":[)";
+  for (std::size_t i = 0; i < decision.mCount; ++i) {
+    const lookup::RankedHost& host = mRanking.Host(decision.mHosts[i]);
+    const auto endpoint = mCluster.HttpEndpoint(host.mId);
+    if (!endpoint) {
+      continue;
+    }
+    text += (text.back() == '[' ? "" : ",");
+    text += R"({"id":")" + host.mId.Text() + R"(","address":")" +
+            endpoint->mAddress + R"(","port":)" +
+            std::to_string(endpoint->mPort.Count()) + R"(,"data_centre":")" +
+            host.mDataCentre.Text() + R"("})";
+  }
+  return text + "]}";
+}
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/PlatformClaimStore.cpp
@@ -0,0 +1,183 @@
+#include "daemon/src/PlatformClaimStore.h"
+
+#include <charconv>
+
+namespace auburnmux::daemon {
+
+namespace {
+
+using idempotency::CallStatus;
+
+// Claims are refused after about a second, so a later answer has no use.
+constexpr platform::CallOptions kOptions{ platform::CallPurpose::Claims,
+                                          std::chrono::milliseconds(800) };
+
+std::string Prefix(idempotency::PartitionNumber aPartition)
+{
+  return "claims/" + std::to_string(aPartition.Count()) + '/';
+}
+
+std::string Name(idempotency::PartitionNumber aPartition,
+                 idempotency::SegmentNumber aSegment)
+{
+  return Prefix(aPartition) + std::to_string(aSegment.Count());
+}
+
+std::optional<idempotency::SegmentNumber> ParseSegment(
+  const std::string& aName, const std::string& aPrefix)
+{
+  std::uint32_t number = 0;
+  if (aName.compare(0, aPrefix.size(), aPrefix) != 0) {
+    return std::nullopt;
+  }
+  const char* end = aName.data() + aName.size();
+  const auto result =
+    std::from_chars(aName.data() + aPrefix.size(), end, number);
+  if (result.ec != std::errc() || result.ptr != end) {
+    return std::nullopt;
+  }
+  return idempotency::SegmentNumber(number);
+}
+
+/** Maps the results of a read. */
+struct ReadMapper
+{
+  idempotency::CallNumber mCall;
+
+  idempotency::ReadResult operator()(const platform::ObjectFound& aIt) const
+  {
+    return { mCall, CallStatus::Done, aIt.mVersion, aIt.mBytes };
+  }
+  idempotency::ReadResult operator()(const platform::ObjectNotFound&) const
+  {
+    return { mCall, CallStatus::NotFound, {}, {} };
+  }
+  template<typename Other>
+  idempotency::ReadResult operator()(const Other&) const
+  {
+    return { mCall, CallStatus::Unknown, {}, {} };
+  }
+};
+
+/** Maps the results of a write. */
+struct WriteMapper
+{
+  idempotency::CallNumber mCall;
+
+  idempotency::WriteResult operator()(const platform::ObjectStored& aIt) const
+  {
+    return { mCall, CallStatus::Done, aIt.mVersion };
+  }
+  idempotency::WriteResult operator()(const platform::ConditionFailed&) const
+  {
+    return { mCall, CallStatus::Conflict, {} };
+  }
+  template<typename Other>
+  idempotency::WriteResult operator()(const Other&) const
+  {
+    return { mCall, CallStatus::Unknown, {} };
+  }
+};
+
+/** Maps the results of a deletion. */
+struct DeleteMapper
+{
+  idempotency::CallNumber mCall;
+
+  idempotency::DeleteResult operator()(const platform::ObjectDeleted&) const
+  {
+    return { mCall, CallStatus::Done };
+  }
+  idempotency::DeleteResult operator()(const platform::ObjectNotFound&) const
+  {
+    return { mCall, CallStatus::NotFound };
+  }
+  template<typename Other>
+  idempotency::DeleteResult operator()(const Other&) const
+  {
+    return { mCall, CallStatus::Unknown };
+  }
+};
+
+} // namespace
+
+PlatformClaimStore::PlatformClaimStore(platform::PlatformClient& aPlatform)
+  : mPlatform(aPlatform)
+{
+}
+
+void PlatformClaimStore::List(idempotency::PartitionNumber aPartition,
+                              const idempotency::ListSegments& aCall,
+                              Done aDone)
+{
+  const std::string prefix = Prefix(aPartition);
+  mPlatform.List(
+    prefix, kOptions,
+    [prefix, call = aCall.mCall, aDone](const platform::ListResult& aResult) {
+      idempotency::ListResult result{ call, CallStatus::Unknown, {} };
+      const auto* objects =
+        std::get_if<std::vector<platform::ListedObject>>(&aResult);
+      if (objects != nullptr) {
+        result.mStatus = CallStatus::Done;
+        for (const platform::ListedObject& it : *objects) {
+          if (const auto n = ParseSegment(it.mName, prefix)) {
+            result.mSegments.push_back(*n);
+          }
+        }
+      }
+      aDone(result);
+    });
+}
+
+void PlatformClaimStore::Read(idempotency::PartitionNumber aPartition,
+                              const idempotency::ReadSegment& aCall, Done aDone)
+{
+  mPlatform.Get(
+    Name(aPartition, aCall.mSegment), kOptions,
+    [call = aCall.mCall, aDone](const platform::GetResult& aResult) {
+      aDone(std::visit(ReadMapper{ call }, aResult));
+    });
+}
+
+void PlatformClaimStore::Write(idempotency::PartitionNumber aPartition,
+                               const idempotency::WriteSegment& aCall,
+                               Done aDone)
+{
+  const bool mustBeAbsent = aCall.mExpected == idempotency::kAbsent;
+  const platform::WriteCondition condition =
+    mustBeAbsent
+      ? platform::WriteCondition(platform::IfAbsent{})
+      : platform::WriteCondition(platform::IfVersion{ aCall.mExpected });
+  mPlatform.Put(
+    Name(aPartition, aCall.mSegment), aCall.mBytes, condition, kOptions,
+    [call = aCall.mCall, aDone](const platform::PutResult& aResult) {
+      aDone(std::visit(WriteMapper{ call }, aResult));
+    });
+}
+
+void PlatformClaimStore::Delete(idempotency::PartitionNumber aPartition,
+                                const idempotency::DeleteSegment& aCall,
+                                Done aDone)
+{
+  // A deletion needs the version; a sealed segment never changes it.
+  const std::string name = Name(aPartition, aCall.mSegment);
+  mPlatform.Get(
+    name, kOptions,
+    [this, name, call = aCall.mCall,
+     aDone](const platform::GetResult& aResult) {
+      const auto* found = std::get_if<platform::ObjectFound>(&aResult);
+      if (found == nullptr) {
+        const bool isGone =
+          std::holds_alternative<platform::ObjectNotFound>(aResult);
+        aDone(idempotency::DeleteResult{ call, isGone ? CallStatus::NotFound
+                                                      : CallStatus::Unknown });
+        return;
+      }
+      mPlatform.Delete(name, found->mVersion, kOptions,
+                       [call, aDone](const platform::DeleteResult& aDeleted) {
+                         aDone(std::visit(DeleteMapper{ call }, aDeleted));
+                       });
+    });
+}
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/RequestCarrier.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "daemon/src/Answers.h"
+#include "daemon/src/ClaimGate.h"
+#include "daemon/src/RequestPlan.h"
+#include "daemon/src/SpillGate.h"
+#include "daemon/src/UpstreamAttempt.h"
+
+#include "retries/Retries.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace auburnmux::daemon {
+
+class ServiceRuntime;
+
+/**
+ * One request of a caller, from its head to the end of its answer: admission,
+ * claim, queue, attempts, hedge, answer.
+ */
+class RequestCarrier final
+  : public AttemptOwner
+  , public ClaimObserver
+  , public std::enable_shared_from_this<RequestCarrier>
+{
+public:
+  RequestCarrier(ServiceRuntime& aService, limits::QueuedId aId,
+                 std::shared_ptr<http::ServerExchange> aExchange,
+                 RequestPlan aPlan);
+
+  void Start();
+
+  const RequestPlan& Plan() const { return mPlan; }
+  limits::QueuedId Id() const { return mId; }
+  limits::QueueEntry MakeQueueEntry() const;
+  const std::vector<std::shared_ptr<UpstreamAttempt>>& Attempts() const
+  {
+    return mAttempts;
+  }
+
+  /** The queue has chosen this request. \returns whether it took a slot. */
+  bool OnDequeued();
+  /** The queue has dropped this request before it was dispatched. */
+  void OnRemovedFromQueue(const Refusal& aRefusal);
+  /** Checks deadline, hedge and silent connections. */
+  void OnTick(base::TimePoint aNow);
+  /** Ends an attempt that the straggler bound has chosen. */
+  void OnStraggler(base::AttemptId aAttempt);
+
+  // Events of the caller's connection.
+  void OnRequestBody(std::string_view aPart);
+  void OnRequestEnd();
+  void OnCallerWritable();
+  void OnCallerGone();
+
+  void OnAttemptHead(UpstreamAttempt& aAttempt) override;
+  void OnAttemptBody(UpstreamAttempt& aAttempt,
+                     std::string_view aPart) override;
+  void OnAttemptEnd(UpstreamAttempt& aAttempt) override;
+  void OnAttemptFailure(UpstreamAttempt& aAttempt,
+                        const http::Failure& aFailure) override;
+  void OnAttemptWritable(UpstreamAttempt& aAttempt) override;
+
+  void OnClaimGranted() override;
+  void OnClaimNotRun(idempotency::NotRunReason aReason) override;
+  void OnClaimNotKnown() override;
+  void OnClaimRan(const idempotency::Outcome& aOutcome) override;
+
+private:
+  enum class Dispatched
+  {
+    Started,
+    Busy,
+    NoneUsable
+  };
+
+  bool IsStreamed() const { return mPlan.mClass == base::WorkClass::Long; }
+  bool IsOnce() const { return mPlan.mKind == base::WorkKind::NonIdempotent; }
+  void Admit();
+  void Claim();
+  void DispatchOrQueue();
+  Dispatched TryDispatch();
+  bool TrySpill();
+  void StartAttempt(const AttemptTarget& aTarget,
+                    const http::Endpoint& aEndpoint, std::string aTargetPath,
+                    http::Headers aHeaders);
+  void StartUpstreamAttempt(const base::UpstreamId& aUpstream);
+  http::Headers ForwardedHeaders() const;
+  void MaybeHedge(base::TimePoint aNow);
+  bool CheckStalls(base::TimePoint aNow);
+  void OnDeadline(base::TimePoint aNow);
+
+  void NoteSigns(const UpstreamAttempt& aAttempt);
+  void Commit(UpstreamAttempt& aAttempt);
+  void Succeed(UpstreamAttempt& aAttempt);
+  void Fail(UpstreamAttempt& aAttempt, base::FailureKind aKind,
+            bool aMayHaveReached);
+  void DecideAfterFailure(base::FailureKind aKind, bool aMayHaveReached);
+  void ReportFailure(const UpstreamAttempt& aAttempt, base::FailureKind aKind);
+  void GiveUp(base::WorkOutcome aOutcome, base::FailureKind aKind);
+  void RecordOutcome(const http::ResponseHead& aHead, const std::string& aBody,
+                     bool aIsBodyOmitted);
+  void SettleClaim(base::WorkOutcome aOutcome);
+  void CancelAttempts(const UpstreamAttempt* aExcept);
+  void EndAttempt(UpstreamAttempt& aAttempt, const char* aResult);
+  void RelayResponse(const http::ResponseHead& aHead, const std::string& aBody,
+                     base::WorkOutcome aOutcome);
+  http::ResponseHead RelayedHead(const http::ResponseHead& aHead,
+                                 base::WorkOutcome aOutcome) const;
+  void Refuse(const Refusal& aRefusal);
+  void Finish(const std::string& aResult);
+  void AddSpan(const char* aName, base::TimePoint aStart,
+               const std::string& aTarget, const std::string& aResult);
+
+  ServiceRuntime& mService;
+  limits::QueuedId mId;
+  std::shared_ptr<http::ServerExchange> mExchange;
+  RequestPlan mPlan;
+  std::string mBody;
+  std::size_t mBodyStreamed = 0;
+  std::vector<std::shared_ptr<UpstreamAttempt>> mAttempts;
+  std::vector<base::UpstreamId> mTried;
+  std::map<base::AttemptId, SpillTicket> mTickets;
+  std::uint32_t mAttemptCount = 0;
+  UpstreamAttempt* mCommitted = nullptr;
+  std::optional<http::ResponseHead> mErrorHead;
+  std::string mErrorBody;
+  std::optional<idempotency::AttemptNumber> mClaim;
+  retries::Fingerprint mFingerprint;
+  base::TimePoint mFirstDispatch;
+  base::TimePoint mQueuedSince;
+  std::optional<base::TimePoint> mHedgeAt;
+  bool mIsQueued = false;
+  bool mIsGranted = false;
+  bool mIsAnswered = false;
+  bool mIsFinished = false;
+  bool mMayHaveRun = false;
+};
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/RequestPlan.cpp
@@ -0,0 +1,156 @@
+#include "daemon/src/RequestPlan.h"
+
+#include "retries/Retries.h"
+
+#include <charconv>
+
+namespace auburnmux::daemon {
+
+namespace {
+
+std::optional<config::HttpMethod> ParseMethod(const std::string& aName)
+{
+  using config::HttpMethod;
+  for (const HttpMethod it :
+       { HttpMethod::Get, HttpMethod::Head, HttpMethod::Post, HttpMethod::Put,
+         HttpMethod::Patch, HttpMethod::Delete }) {
+    if (aName == config::MethodName(it)) {
+      return it;
+    }
+  }
+  return std::nullopt;
+}
+
+Refusal NotRun(int aStatus, std::string aReason)
+{
+  return { aStatus, base::WorkOutcome::NotRun, std::move(aReason),
+           std::nullopt };
+}
+
+bool HasPath(const config::ServiceFile& aService, const std::string& aPath)
+{
+  for (const config::Route& it : aService.mRoutes) {
+    if (it.MatchesPath(aPath)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/** \returns the refusal of a deadline header that can't be read. */
+std::optional<Refusal> PlanDeadline(const http::RequestHead& aHead,
+                                    const config::Route& aRoute,
+                                    RequestPlan& aPlan)
+{
+  using retries::HopDeadline;
+  const auto text = aHead.mHeaders.Find(HopDeadline::kHeader);
+  const auto deadline =
+    text ? HopDeadline::Parse(aPlan.mArrival, *text)
+         : HopDeadline::Default(aPlan.mArrival, aRoute.mDeadline);
+  if (!deadline) {
+    return NotRun(400, "request-deadline-ms is not a number of milliseconds");
+  }
+  aPlan.mDeadline = deadline->Time();
+  return std::nullopt;
+}
+
+/** \returns the refusal of a missing or malformed idempotency key. */
+std::optional<Refusal> PlanKey(const http::RequestHead& aHead,
+                               RequestPlan& aPlan)
+{
+  if (aPlan.mKind == base::WorkKind::Idempotent) {
+    return std::nullopt;
+  }
+  const auto text = aHead.mHeaders.Find("idempotency-key");
+  if (!text) {
+    return NotRun(400, "this request needs the header Idempotency-Key");
+  }
+  aPlan.mKey = idempotency::IdempotencyKey::Parse(*text);
+  if (!aPlan.mKey) {
+    return NotRun(400, "Idempotency-Key is not a UUID version 7");
+  }
+  return std::nullopt;
+}
+
+/** \returns the refusal of a grant token that can't be read. */
+std::optional<Refusal> PlanGrant(const http::RequestHead& aHead,
+                                 RequestPlan& aPlan)
+{
+  const auto text = aHead.mHeaders.Find("auburnmux-grant");
+  if (!text) {
+    return std::nullopt;
+  }
+  std::uint64_t token = 0;
+  const auto result =
+    std::from_chars(text->data(), text->data() + text->size(), token);
+  if (result.ec != std::errc() || result.ptr != text->data() + text->size()) {
+    return NotRun(400, "auburnmux-grant is malformed");
+  }
+  aPlan.mGrant = token;
+  return std::nullopt;
+}
+
+void PlanTrace(const http::RequestHead& aHead, base::Random& aRandom,
+               RequestPlan& aPlan)
+{
+  const auto text = aHead.mHeaders.Find("traceparent");
+  const auto parent = text ? telemetry::ParseTraceContext(*text) : std::nullopt;
+  aPlan.mTrace = parent ? telemetry::ChildOf(*parent, aRandom)
+                        : telemetry::StartTrace(aRandom);
+  aPlan.mParentSpan = parent ? parent->mSpan : 0;
+}
+
+} // namespace
+
+ServicePath SplitServicePath(const std::string& aPath)
+{
+  const std::size_t n = aPath.find('/', 1);
+  if (aPath.size() < 2 || aPath.front() != '/') {
+    return {};
+  }
+  if (n == std::string::npos) {
+    return { base::ServiceId(aPath.substr(1)), "/" };
+  }
+  return { base::ServiceId(aPath.substr(1, n - 1)), aPath.substr(n) };
+}
+
+std::variant<RequestPlan, Refusal> PlanRequest(
+  const http::RequestHead& aHead, const config::ServiceFile& aService,
+  base::TimePoint aNow, base::Random& aRandom)
+{
+  const std::string path = SplitServicePath(aHead.mPath).mRest;
+  const auto method = ParseMethod(aHead.mMethod);
+  const config::Route* route =
+    method ? aService.FindRoute(*method, path) : nullptr;
+  if (route == nullptr) {
+    return HasPath(aService, path)
+             ? NotRun(405, "no route of the service takes this method")
+             : NotRun(404, "no route of the service has this path");
+  }
+  if (aHead.mContentLength && *aHead.mContentLength > route->mMaxBody) {
+    return NotRun(413, "the body is larger than the route allows");
+  }
+  RequestPlan plan;
+  plan.mService = aService.mService;
+  plan.mClass = route->mClass == config::WorkClass::Short
+                  ? base::WorkClass::Short
+                  : base::WorkClass::Long;
+  plan.mKind = route->mWork == config::WorkKind::Idempotent
+                 ? base::WorkKind::Idempotent
+                 : base::WorkKind::NonIdempotent;
+  plan.mTarget = path + (aHead.mQuery.empty() ? "" : '?' + aHead.mQuery);
+  plan.mArrival = aNow;
+  plan.mCaller = limits::CallerKey(base::Hash64(aHead.mClientAddress));
+  PlanTrace(aHead, aRandom, plan);
+  for (auto* step : { &PlanKey, &PlanGrant }) {
+    if (auto refusal = step(aHead, plan)) {
+      return *refusal;
+    }
+  }
+  if (auto refusal = PlanDeadline(aHead, *route, plan)) {
+    return *refusal;
+  }
+  return plan;
+}
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/UpstreamSet.cpp
@@ -0,0 +1,134 @@
+#include "daemon/src/UpstreamSet.h"
+
+#include <algorithm>
+
+namespace auburnmux::daemon {
+
+namespace {
+
+balancing::Pool MakePool(const Mechanisms& aMechanisms)
+{
+  if (aMechanisms.mBalancing) {
+    return balancing::UpstreamPool();
+  }
+  return balancing::RoundRobinPool();
+}
+
+} // namespace
+
+UpstreamSet::UpstreamSet(const Shared& aShared)
+  : mShared(aShared)
+  , mPool(MakePool(aShared.mMechanisms))
+{
+}
+
+balancing::UpstreamSpec UpstreamSet::MakeSpec(
+  const config::ServiceFile& aService, const config::Upstream& aUpstream,
+  const CarrierView& aView) const
+{
+  const base::HostId& self = mShared.mSettings.mHost;
+  balancing::UpstreamSpec spec;
+  spec.mId = aUpstream.mId;
+  spec.mConnections = limits::SlotShare::Connections(
+    aUpstream.mId, aUpstream.mConnections, self, aView.mPossibleHosts);
+  spec.mSlots = limits::SlotShare::Slots(aUpstream.mId, aUpstream.mSlots, self,
+                                         aView.mLiveHosts);
+  if (!mShared.mMechanisms.mBalancing) {
+    spec.mSlots = base::SlotCount(spec.mConnections.Count());
+  }
+  spec.mLeaving = aService.IsLeaving(aUpstream.mId);
+  return spec;
+}
+
+void UpstreamSet::Configure(base::TimePoint aNow,
+                            const config::ServiceFile& aService,
+                            const CarrierView& aView)
+{
+  std::vector<balancing::UpstreamSpec> specs;
+  std::map<base::UpstreamId, Entry> entries;
+  for (const config::Upstream& it : aService.mUpstreams) {
+    const auto& centres = aView.mDataCentres;
+    if (std::find(centres.begin(), centres.end(), it.mDataCentre) ==
+        centres.end()) {
+      continue;
+    }
+    specs.push_back(MakeSpec(aService, it, aView));
+    const base::SlotCount share = specs.back().mSlots;
+    const auto old = mEntries.find(it.mId);
+    Entry entry = old == mEntries.end()
+                    ? Entry{ {}, limits::ConcurrencyLimit(share) }
+                    : old->second;
+    entry.mEndpoint = { it.mEndpoint.mAddress, it.mEndpoint.mPort };
+    entry.mLimit.SetShare(share);
+    entries.emplace(it.mId, entry);
+  }
+  mEntries = std::move(entries);
+  balancing::With(mPool, [&](auto& aPool) { aPool.Configure(aNow, specs); });
+  for (const auto& [id, entry] : mEntries) {
+    ApplyLimit(id, entry);
+  }
+}
+
+void UpstreamSet::ApplyLimit(const base::UpstreamId& aUpstream,
+                             const Entry& aEntry)
+{
+  if (mShared.mMechanisms.mBalancing) {
+    balancing::With(mPool, [&](auto& aPool) {
+      aPool.SetLimit(aUpstream, aEntry.mLimit.Limit());
+    });
+  }
+}
+
+const http::Endpoint* UpstreamSet::Find(const base::UpstreamId& aUpstream) const
+{
+  const auto it = mEntries.find(aUpstream);
+  return it == mEntries.end() ? nullptr : &it->second.mEndpoint;
+}
+
+base::SlotCount UpstreamSet::Share(const base::UpstreamId& aUpstream) const
+{
+  const auto it = mEntries.find(aUpstream);
+  return it == mEntries.end() ? base::SlotCount(0) : it->second.mLimit.Share();
+}
+
+void UpstreamSet::OnLatency(const base::UpstreamId& aUpstream,
+                            base::Duration aLatency, bool aHasWaiting)
+{
+  const auto it = mEntries.find(aUpstream);
+  if (it != mEntries.end()) {
+    it->second.mLimit.OnSample(aLatency, aHasWaiting);
+    ApplyLimit(aUpstream, it->second);
+  }
+}
+
+void UpstreamSet::OnShed(const base::UpstreamId& aUpstream)
+{
+  const auto it = mEntries.find(aUpstream);
+  if (it != mEntries.end()) {
+    it->second.mLimit.OnShed();
+    ApplyLimit(aUpstream, it->second);
+  }
+}
+
+base::SlotCount UpstreamSet::FreeSlots(base::TimePoint aNow)
+{
+  return balancing::With(mPool,
+                         [&](auto& aPool) { return aPool.FreeSlots(aNow); });
+}
+
+base::SlotCount UpstreamSet::TotalSlots() const
+{
+  base::SlotCount total;
+  for (const auto& [id, entry] : mEntries) {
+    total += entry.mLimit.Limit();
+  }
+  return total;
+}
+
+std::vector<balancing::UpstreamStatus> UpstreamSet::Status(base::TimePoint aNow)
+{
+  return balancing::With(mPool,
+                         [&](auto& aPool) { return aPool.Status(aNow); });
+}
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/WireBeat.cpp
@@ -0,0 +1,163 @@
+#include "daemon/src/WireBeat.h"
+
+namespace auburnmux::daemon {
+
+namespace {
+
+constexpr int kMaxNameBytes = 128;
+
+protocol::HostUpdate::State ToWire(membership::HostState aState)
+{
+  switch (aState) {
+    case membership::HostState::Alive:
+      return protocol::HostUpdate::ALIVE;
+    case membership::HostState::Suspect:
+      return protocol::HostUpdate::SUSPECT;
+    case membership::HostState::Leaving:
+      return protocol::HostUpdate::LEAVING;
+    case membership::HostState::Dead:
+      return protocol::HostUpdate::DEAD;
+  }
+  return protocol::HostUpdate::STATE_UNSPECIFIED;
+}
+
+std::optional<membership::HostState> FromWire(
+  protocol::HostUpdate::State aState)
+{
+  switch (aState) {
+    case protocol::HostUpdate::ALIVE:
+      return membership::HostState::Alive;
+    case protocol::HostUpdate::SUSPECT:
+      return membership::HostState::Suspect;
+    case protocol::HostUpdate::LEAVING:
+      return membership::HostState::Leaving;
+    case protocol::HostUpdate::DEAD:
+      return membership::HostState::Dead;
+    default:
+      return std::nullopt;
+  }
+}
+
+void ToWire(const membership::HostUpdate& aUpdate, protocol::HostUpdate& aOut)
+{
+  const membership::HostIdentity& host = aUpdate.mHost;
+  aOut.set_host(host.mId.Text());
+  aOut.set_incarnation(host.mIncarnation.Count());
+  aOut.set_refutation(aUpdate.mRefutation.Count());
+  aOut.set_state(ToWire(aUpdate.mState));
+  aOut.set_data_centre(host.mDataCentre.Text());
+  aOut.set_region(host.mRegion.Text());
+  aOut.set_address(host.mAddress);
+  aOut.set_http_port(host.mHttpPort.Count());
+  aOut.set_peer_port(host.mPeerPort.Count());
+  for (const base::HostId& it : aUpdate.mConfirmedBy) {
+    aOut.add_confirmed_by(it.Text());
+  }
+}
+
+bool IsName(const std::string& aText)
+{
+  return !aText.empty() && aText.size() <= kMaxNameBytes;
+}
+
+bool IsPort(std::uint32_t aPort)
+{
+  return aPort > 0 && aPort <= 65535;
+}
+
+std::optional<membership::HostUpdate> FromWire(
+  const protocol::HostUpdate& aUpdate)
+{
+  const auto state = FromWire(aUpdate.state());
+  const bool isGood =
+    state && IsName(aUpdate.host()) && IsName(aUpdate.data_centre()) &&
+    IsName(aUpdate.region()) && IsName(aUpdate.address()) &&
+    IsPort(aUpdate.http_port()) && IsPort(aUpdate.peer_port()) &&
+    aUpdate.confirmed_by_size() <=
+      static_cast<int>(membership::kMaxConfirmations);
+  if (!isGood) {
+    return std::nullopt;
+  }
+  membership::HostUpdate update;
+  update.mHost = {
+    base::HostId(aUpdate.host()),
+    base::Incarnation(aUpdate.incarnation()),
+    base::DataCentreId(aUpdate.data_centre()),
+    base::RegionId(aUpdate.region()),
+    aUpdate.address(),
+    base::PortNumber(static_cast<std::uint16_t>(aUpdate.http_port())),
+    base::PortNumber(static_cast<std::uint16_t>(aUpdate.peer_port()))
+  };
+  update.mRefutation = membership::Refutation(aUpdate.refutation());
+  update.mState = *state;
+  for (const std::string& it : aUpdate.confirmed_by()) {
+    if (!IsName(it)) {
+      return std::nullopt;
+    }
+    update.mConfirmedBy.emplace_back(it);
+  }
+  return update;
+}
+
+template<typename Message>
+void FillWire(const membership::Beat& aBeat, Message& aOut)
+{
+  aOut.set_number(aBeat.mNumber.Count());
+  aOut.set_config_version(aBeat.mConfigVersion.Count());
+  ToWire(aBeat.mSender, *aOut.add_updates());
+  for (const membership::HostUpdate& it : aBeat.mUpdates) {
+    ToWire(it, *aOut.add_updates());
+  }
+}
+
+template<typename Message>
+std::optional<membership::Beat> ReadWire(const Message& aMessage)
+{
+  const auto limit = static_cast<int>(membership::kMaxUpdates) + 1;
+  if (aMessage.updates_size() == 0 || aMessage.updates_size() > limit) {
+    return std::nullopt;
+  }
+  membership::Beat beat;
+  beat.mNumber = membership::HeartbeatNumber(aMessage.number());
+  beat.mConfigVersion = base::ConfigVersion(aMessage.config_version());
+  for (const protocol::HostUpdate& it : aMessage.updates()) {
+    auto update = FromWire(it);
+    if (!update) {
+      return std::nullopt;
+    }
+    if (&it == &aMessage.updates(0)) {
+      beat.mSender = std::move(*update);
+    } else {
+      beat.mUpdates.push_back(std::move(*update));
+    }
+  }
+  return beat;
+}
+
+} // namespace
+
+protocol::Envelope ToHeartbeat(const membership::Beat& aBeat)
+{
+  protocol::Envelope envelope;
+  FillWire(aBeat, *envelope.mutable_heartbeat());
+  return envelope;
+}
+
+protocol::Envelope ToHeartbeatAck(const membership::Beat& aBeat)
+{
+  protocol::Envelope envelope;
+  FillWire(aBeat, *envelope.mutable_heartbeat_ack());
+  return envelope;
+}
+
+std::optional<membership::Beat> FromWire(const protocol::Heartbeat& aMessage)
+{
+  return ReadWire(aMessage);
+}
+
+std::optional<membership::Beat> FromWire(const protocol::HeartbeatAck& aMessage)
+{
+  return ReadWire(aMessage);
+}
+
+} // namespace auburnmux::daemon
--- a/packages/http/src/ServerConnection.cpp
+++ b/packages/http/src/ServerConnection.cpp
@@ -66,7 +66,8 @@
 {
   mObserver = std::move(aObserver);
   DeliverEarlyEvents();
-  PauseReading(false);
+  mIsHeld = false;
+  ApplyFlowControl();
 }
 
 void ServerConnection::DeliverEarlyEvents()
@@ -83,9 +84,16 @@
 
 void ServerConnection::PauseReading(bool aIsPaused)
 {
-  if (mWsi != nullptr && mIsReadingPaused != aIsPaused) {
-    mIsReadingPaused = aIsPaused;
-    lws_rx_flow_control(mWsi, aIsPaused ? 0 : 1);
+  mIsReadingPaused = aIsPaused;
+  ApplyFlowControl();
+}
+
+void ServerConnection::ApplyFlowControl()
+{
+  const bool isStopped = mIsReadingPaused || mIsHeld;
+  if (mWsi != nullptr && mIsStopped != isStopped) {
+    mIsStopped = isStopped;
+    lws_rx_flow_control(mWsi, isStopped ? 0 : 1);
   }
 }
 
@@ -184,7 +192,8 @@
     mObserver->OnBody(aPart);
   } else {
     mEarlyBody += aPart;
-    PauseReading(true);
+    mIsHeld = true;
+    ApplyFlowControl();
   }
 }
 
--- a/packages/http/src/ServerConnection.h
+++ b/packages/http/src/ServerConnection.h
@@ -41,6 +41,7 @@
 
 private:
   void DeliverEarlyEvents();
+  void ApplyFlowControl();
   bool WritePending();
   int Complete();
   bool IsBodyDiscardable() const;
@@ -59,6 +60,9 @@
   bool mIsBodyEnded = false;
   bool mIsBodyEndDelivered = false;
   bool mIsReadingPaused = false;
+  // Body parts wait for the observer to be installed.
+  bool mIsHeld = false;
+  bool mIsStopped = false;
   bool mIsHeadSent = false;
   bool mIsChunked = false;
   bool mIsFinished = false;
