--- a/packages/balancing/src/PeakEwma.cpp
+++ b/packages/balancing/src/PeakEwma.cpp
@@ -15,7 +15,7 @@
 /** Weight of a sample in the mean. */
 constexpr int kMeanDivisor = 4;
 /** Time constant of the return to the typical latency without samples. */
-constexpr Duration kForget = std::chrono::seconds(10);
+constexpr Duration kForget = std::chrono::seconds(5);
 
 double Fade(Duration aElapsed, Duration aDecay)
 {
--- a/packages/balancing/src/PeakEwma.h
+++ b/packages/balancing/src/PeakEwma.h
@@ -16,7 +16,7 @@
   void Add(base::TimePoint aNow, base::Duration aSample,
            base::Duration aTypical, base::Duration aDecay);
 
-  /** \returns the estimate at \a aNow, which returns to \a aTypical over 10 s
+  /** \returns the estimate at \a aNow, which returns to \a aTypical over 5 s
    * without samples, so that an avoided upstream is tried again. Zero when
    * there is no sample. */
   base::Duration Estimate(base::TimePoint aNow, base::Duration aTypical) const;
--- a/packages/balancing/src/TwoChoices.cpp
+++ b/packages/balancing/src/TwoChoices.cpp
@@ -5,25 +5,34 @@
 
 namespace auburnmux::balancing::internal {
 
+namespace {
+
+/** Costs closer than this are equal: otherwise a host with few requests would
+ * send all of them to the upstream that happens to be lowest. */
+constexpr double kClearlyCheaper = 0.9;
+
+} // namespace
+
 const UpstreamState* PickCheaperOfTwo(
   base::Random& aRandom, const std::vector<const UpstreamState*>& aEligible,
   const CostModel& aModel)
 {
   assert(!aEligible.empty());
-  const auto cheaper = [&](const UpstreamState* aLeft,
-                           const UpstreamState* aRight) {
-    return aModel.Cost(*aLeft) < aModel.Cost(*aRight);
-  };
   const std::size_t first = aRandom.Below(aEligible.size());
   const UpstreamState* best = aEligible[first];
   if (aEligible.size() > 1) {
     const std::size_t step = 1 + aRandom.Below(aEligible.size() - 1);
     const UpstreamState* other = aEligible[(first + step) % aEligible.size()];
-    best = cheaper(other, best) ? other : best;
+    const double bound = kClearlyCheaper * aModel.Cost(*best);
+    best = aModel.Cost(*other) < bound ? other : best;
   }
   // Two failing upstreams may be drawn while ejection is at its bound.
   if (best->IsSuspect()) {
-    return *std::min_element(aEligible.begin(), aEligible.end(), cheaper);
+    return *std::min_element(aEligible.begin(), aEligible.end(),
+                             [&](const auto* aLeft, const auto* aRight) {
+                               return aModel.Cost(*aLeft) <
+                                      aModel.Cost(*aRight);
+                             });
   }
   return best;
 }
--- a/packages/balancing/src/UpstreamState.cpp
+++ b/packages/balancing/src/UpstreamState.cpp
@@ -232,7 +232,7 @@
     cost += Seconds(std::max(own, std::min(age, kLongestAge * fallback)));
   }
   return cost * (1 + kFailureCost * mFailures) * ReportFactor(aNow) /
-         WarmFraction(aNow);
+         std::sqrt(WarmFraction(aNow));
 }
 
 double UpstreamState::ReportFactor(TimePoint aNow) const
--- a/packages/limits/src/Admission.cpp
+++ b/packages/limits/src/Admission.cpp
@@ -13,7 +13,7 @@
 /** Weight of a sample in the mean and in the deviation. */
 constexpr double kWeight = 1.0 / 16;
 /** Mean deviations above the mean within which most work finishes. */
-constexpr double kDeviations = 2;
+constexpr double kDeviations = 4;
 /** Multiple of the mean to which a sample is cut, so that one straggler
  * doesn't shed the requests behind it. */
 constexpr double kLargestSample = 8;
@@ -40,7 +40,13 @@
                                   const AdmissionLoad& aLoad) const
 {
   const Duration wait = ExpectedWait(aClass, aLoad);
-  if (wait + ServiceTime(aClass) <= aRemaining) {
+  // Work that starts at once is worth trying within its mean time; a place in
+  // the queue goes to work that is likely to use it.
+  const Duration service = wait.count() == 0
+                             ? Duration(static_cast<Duration::rep>(
+                                 mService[base::ClassIndex(aClass)].mMean))
+                             : ServiceTime(aClass);
+  if (wait + service <= aRemaining) {
     return Admitted{};
   }
   const auto whole = std::chrono::ceil<std::chrono::seconds>(wait);
