--- a/packages/lookup/src/PrefixTable.cpp
+++ b/packages/lookup/src/PrefixTable.cpp
@@ -2,12 +2,6 @@
 
 namespace auburnmux::lookup {
 
-template<typename Address>
-PrefixTable<Address>::PrefixTable()
-  : mIndex((std::size_t(1) << kIndexBits) + 1, 0)
-{
-}
-
 template<typename Address>
 void PrefixTable<Address>::Assign(const std::vector<Block<Address>>& aBlocks)
 {
@@ -40,6 +34,11 @@
 template<typename Address>
 void PrefixTable<Address>::BuildIndex()
 {
+  if (mStarts.empty()) {
+    mIndex.clear();
+    return;
+  }
+  mIndex.assign((std::size_t(1) << kIndexBits) + 1, 0);
   std::size_t position = 0;
   for (std::size_t cell = 0; cell + 1 < mIndex.size(); ++cell) {
     const Address start = Address(cell) << (kAddressBits - kIndexBits);
--- a/packages/lookup/src/PrefixTable.h
+++ b/packages/lookup/src/PrefixTable.h
@@ -20,8 +20,6 @@
   /** 2^20 entries of 4 bytes: about 3.5 prefixes each at 3.7 million. */
   static constexpr unsigned kIndexBits = 20;
 
-  PrefixTable();
-
   /** \pre blocks are checked by Check() */
   void Assign(const std::vector<Block<Address>>& aBlocks);
   std::optional<SiteNumber> Find(Address aAddress) const;
@@ -54,13 +52,17 @@
   std::vector<Address> mStarts;
   std::vector<std::uint16_t> mSites;
   std::vector<std::uint8_t> mLengths;
-  /** For each value of the leading bits: the first prefix at or above it. */
+  /** For each value of the leading bits: the first prefix at or above it;
+   * none in an empty table. */
   std::vector<std::uint32_t> mIndex;
 };
 
 template<typename Address>
 std::optional<SiteNumber> PrefixTable<Address>::Find(Address aAddress) const
 {
+  if (mIndex.empty()) {
+    return std::nullopt;
+  }
   const auto cell =
     static_cast<std::size_t>(aAddress >> (kAddressBits - kIndexBits));
   const auto first = mStarts.begin() + mIndex[cell];
