--- /dev/null
+++ b/packages/steering/test/GrantTest.cpp
@@ -0,0 +1,545 @@
+#include "steering/Steering.h"
+
+#include "base/test/support/Property.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+using namespace auburnmux;
+using namespace auburnmux::steering;
+using base::SlotCount;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::TimePoint kStart{ 1000s };
+
+base::HostId Receiver(std::size_t aIndex)
+{
+  return base::HostId("receiver-" + std::to_string(aIndex));
+}
+
+base::HostId Sender(std::size_t aIndex)
+{
+  return base::HostId("sender-" + std::to_string(aIndex));
+}
+
+/**
+ * All hosts of one data centre and the senders that ask them. Messages are
+ * delivered late, in any order, twice, or never.
+ */
+class Exchange
+{
+public:
+  static constexpr std::size_t kReceivers = 3;
+  static constexpr std::size_t kSenders = 3;
+  static constexpr std::uint32_t kCap = 13;
+  static constexpr std::uint32_t kShare = 12;
+
+  Exchange()
+  {
+    for (std::size_t it = 0; it < kReceivers; ++it) {
+      mIssuers.push_back(MakeIssuer(it));
+      Measure(it, 2);
+    }
+    for (std::size_t it = 0; it < kSenders; ++it) {
+      mBooks.emplace_back(base::Incarnation(1));
+    }
+  }
+
+  /** Performs one of the events that may happen at any time. */
+  void Step(std::uint32_t aChoice)
+  {
+    const std::size_t receiver = (aChoice / 16) % kReceivers;
+    const std::size_t sender = (aChoice / 64) % kSenders;
+    const std::uint32_t amount = (aChoice / 256) % 16;
+    switch (aChoice % 16) {
+      case 0:
+        RestartReceiver(receiver);
+        break;
+      case 1:
+        RestartSender(sender);
+        break;
+      case 2:
+      case 3:
+        mNow += std::chrono::milliseconds(20 * (amount + 1));
+        break;
+      case 4:
+        mNow += std::chrono::milliseconds(200 * amount);
+        break;
+      case 5:
+        Measure(receiver, amount % kShare);
+        break;
+      case 6:
+      case 7:
+      case 8:
+        Ask(sender, receiver, amount);
+        break;
+      case 9:
+      case 10:
+      case 11:
+      case 12:
+        Deliver(amount, aChoice % 5 == 0);
+        break;
+      case 13:
+      case 14:
+        Use(sender, receiver);
+        break;
+      default:
+        Finish(amount);
+        break;
+    }
+  }
+
+  void Check() const
+  {
+    std::uint32_t held = 0;
+    std::uint32_t inUse = 0;
+    for (std::size_t it = 0; it < kReceivers; ++it) {
+      for (const GrantBook& book : mBooks) {
+        held += book.Slots(mNow, Receiver(it)).Count();
+      }
+      inUse += mIssuers[it].InUse().Count();
+    }
+    RC_ASSERT(held <= kCap);
+    RC_ASSERT(inUse <= kCap);
+  }
+
+private:
+  struct Message
+  {
+    std::size_t mSender = 0;
+    std::size_t mReceiver = 0;
+    std::optional<GrantAsk> mAsk;
+    GrantOffer mOffer;
+  };
+
+  GrantIssuer MakeIssuer(std::size_t aIndex) const
+  {
+    const IssuerSettings settings{ PortionOfCap(
+                                     SlotCount(kCap), kReceivers,
+                                     static_cast<std::uint32_t>(aIndex)),
+                                   SlotCount(4),
+                                   {} };
+    return GrantIssuer(settings, mNow);
+  }
+
+  void Measure(std::size_t aReceiver, std::uint32_t aLocal)
+  {
+    mLocal[aReceiver] = aLocal;
+    mMeasured[aReceiver] = mNow;
+    mIssuers[aReceiver].OnMeasured(mNow,
+                                   { SlotCount(kShare), SlotCount(aLocal) });
+  }
+
+  void Ask(std::size_t aSender, std::size_t aReceiver, std::uint32_t aSlots)
+  {
+    auto ask =
+      mBooks[aSender].Ask(mNow, Receiver(aReceiver), SlotCount(aSlots));
+    if (ask) {
+      mMessages.push_back({ aSender, aReceiver, ask, {} });
+    }
+  }
+
+  void Deliver(std::size_t aChoice, bool aIsKept)
+  {
+    if (mMessages.empty()) {
+      return;
+    }
+    const std::size_t index = aChoice % mMessages.size();
+    Message message = mMessages[index];
+    // A message that is kept is delivered again later.
+    if (!aIsKept) {
+      mMessages.erase(mMessages.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+    const base::HostId receiver = Receiver(message.mReceiver);
+    if (message.mAsk) {
+      message.mOffer = mIssuers[message.mReceiver].OnRequest(
+        mNow, Sender(message.mSender), message.mAsk->mCorrelation,
+        message.mAsk->mSlots, mRandom);
+      message.mAsk.reset();
+      mMessages.push_back(message);
+    } else {
+      mBooks[message.mSender].OnOffer(receiver, message.mOffer);
+    }
+  }
+
+  void Use(std::size_t aSender, std::size_t aReceiver)
+  {
+    const auto use = mBooks[aSender].TryUse(mNow, Receiver(aReceiver));
+    if (!use) {
+      return;
+    }
+    GrantIssuer& issuer = mIssuers[aReceiver];
+    const std::uint32_t before = issuer.InUse().Count();
+    if (issuer.Admit(mNow, Sender(aSender), use->mToken)) {
+      mRunning.push_back({ aSender, aReceiver });
+      const bool isFresh =
+        mNow - mMeasured[aReceiver] <= GrantIssuer::kMeasurementAge;
+      RC_ASSERT(!isFresh || before + mLocal[aReceiver] < kShare);
+    } else {
+      mBooks[aSender].OnRefused(*use);
+    }
+  }
+
+  void Finish(std::size_t aChoice)
+  {
+    if (!mRunning.empty()) {
+      const auto it = mRunning.begin() +
+                      static_cast<std::ptrdiff_t>(aChoice % mRunning.size());
+      mIssuers[it->second].OnFinished(Sender(it->first));
+      mBooks[it->first].OnFinished(Receiver(it->second));
+      mRunning.erase(it);
+    }
+  }
+
+  /** Its requests end at the senders, too. */
+  void RestartReceiver(std::size_t aReceiver)
+  {
+    for (const auto& [sender, receiver] : mRunning) {
+      if (receiver == aReceiver) {
+        mBooks[sender].OnFinished(Receiver(receiver));
+      }
+    }
+    Forget([&](const auto& aRun) { return aRun.second == aReceiver; });
+    mIssuers[aReceiver] = MakeIssuer(aReceiver);
+    Measure(aReceiver, 2);
+  }
+
+  void RestartSender(std::size_t aSender)
+  {
+    for (const auto& [sender, receiver] : mRunning) {
+      if (sender == aSender) {
+        mIssuers[receiver].OnFinished(Sender(sender));
+      }
+    }
+    Forget([&](const auto& aRun) { return aRun.first == aSender; });
+    mBooks[aSender] = GrantBook(base::Incarnation(++mIncarnation));
+  }
+
+  template<typename Condition>
+  void Forget(const Condition& aCondition)
+  {
+    mRunning.erase(std::remove_if(mRunning.begin(), mRunning.end(), aCondition),
+                   mRunning.end());
+  }
+
+  base::TimePoint mNow = kStart;
+  base::Random mRandom{ 1 };
+  std::uint64_t mIncarnation = 1;
+  std::vector<GrantIssuer> mIssuers;
+  std::array<std::uint32_t, kReceivers> mLocal{};
+  std::array<base::TimePoint, kReceivers> mMeasured{};
+  std::vector<GrantBook> mBooks;
+  std::vector<Message> mMessages;
+  std::vector<std::pair<std::size_t, std::size_t>> mRunning;
+};
+
+/** Hosts of three regions of two data centres, each with the same share. */
+class RegionLoss
+{
+public:
+  static constexpr std::size_t kHosts = 12;
+  static constexpr std::size_t kPerRegion = 4;
+  static constexpr std::uint32_t kShare = 30;
+  /** Caps and ramp as the pages advise: 40% of the slots, 20% each second. */
+  static constexpr std::uint32_t kPortion = 12;
+  static constexpr std::uint32_t kRamp = 6;
+  static constexpr base::Duration kStep = 50ms;
+
+  RegionLoss()
+  {
+    for (std::size_t it = 0; it < kHosts; ++it) {
+      mIssuers.emplace_back(
+        IssuerSettings{ SlotCount(kPortion), SlotCount(kRamp), {} }, kStart);
+      mBooks.emplace_back(base::Incarnation(1));
+      mPolicies.emplace_back(Host(it), Region(it));
+      mPolicies.back().SetTargets(Targets(it));
+    }
+  }
+
+  /** Adds work that stays: a request that ends is followed by another. */
+  void AddLoad(std::size_t aHost, std::uint32_t aSlots)
+  {
+    mDemand[aHost] += aSlots;
+  }
+
+  /** \returns the time until no work waits; at most \a aLimit. */
+  base::Duration RunUntilServed(base::Duration aLimit)
+  {
+    const base::TimePoint start = mNow;
+    while (mNow - start < aLimit) {
+      mNow += kStep;
+      Step();
+      if (Waiting() == 0) {
+        break;
+      }
+    }
+    return mNow - start;
+  }
+
+  std::uint32_t Waiting() const
+  {
+    std::uint32_t out = 0;
+    for (std::size_t it = kPerRegion; it < kHosts; ++it) {
+      out += WaitingAt(it);
+    }
+    return out;
+  }
+
+private:
+  static base::HostId Host(std::size_t aIndex) { return Receiver(aIndex); }
+  static base::RegionId Region(std::size_t aIndex)
+  {
+    return base::RegionId(std::to_string(aIndex / kPerRegion));
+  }
+
+  /** The lost region is the first. */
+  static std::vector<SpillTarget> Targets(std::size_t aSelf)
+  {
+    std::vector<SpillTarget> out;
+    for (std::size_t it = kPerRegion; it < kHosts; ++it) {
+      if (it / 2 != aSelf / 2) {
+        const bool isNear = it / kPerRegion == aSelf / kPerRegion;
+        out.push_back({ Host(it), base::DataCentreId(std::to_string(it / 2)),
+                        Region(it), isNear ? 1ms : 35ms });
+      }
+    }
+    return out;
+  }
+
+  std::uint32_t LocalAt(std::size_t aHost) const
+  {
+    const std::uint32_t forwarded = mIssuers[aHost].InUse().Count();
+    return std::min(mDemand[aHost], kShare - forwarded);
+  }
+
+  std::uint32_t WaitingAt(std::size_t aHost) const
+  {
+    const std::uint32_t served =
+      LocalAt(aHost) + mBooks[aHost].TotalInUse().Count();
+    return mDemand[aHost] > served ? mDemand[aHost] - served : 0;
+  }
+
+  std::size_t IndexOf(const base::HostId& aHost) const
+  {
+    return static_cast<std::size_t>(
+      std::stoul(aHost.Text().substr(sizeof "receiver-" - 1)));
+  }
+
+  void Step()
+  {
+    for (std::size_t it = kPerRegion; it < kHosts; ++it) {
+      mIssuers[it].OnMeasured(mNow,
+                              { SlotCount(kShare), SlotCount(LocalAt(it)) });
+    }
+    for (std::size_t it = kPerRegion; it < kHosts; ++it) {
+      for (const GrantAsk& ask :
+           mPolicies[it].Plan(mNow, { SlotCount(WaitingAt(it)) }, mBooks[it])) {
+        // The answer arrives before the next step but one round trip late.
+        const GrantOffer offer = mIssuers[IndexOf(ask.mReceiver)].OnRequest(
+          mNow + 35ms, Host(it), ask.mCorrelation, ask.mSlots, mRandom);
+        mBooks[it].OnOffer(ask.mReceiver, offer);
+      }
+      Forward(it);
+      RC_ASSERT(LocalAt(it) + mIssuers[it].InUse().Count() <= kShare);
+      RC_ASSERT(mIssuers[it].InUse().Count() <= kPortion);
+    }
+  }
+
+  void Forward(std::size_t aHost)
+  {
+    while (WaitingAt(aHost) > 0) {
+      const auto use = mPolicies[aHost].Place(mNow, mBooks[aHost]);
+      if (!use) {
+        return;
+      }
+      if (!mIssuers[IndexOf(use->mReceiver)].Admit(mNow + 35ms, Host(aHost),
+                                                   use->mToken)) {
+        mBooks[aHost].OnRefused(*use);
+      }
+    }
+  }
+
+  base::TimePoint mNow = kStart + kGrantLifetime;
+  base::Random mRandom{ 1 };
+  std::vector<GrantIssuer> mIssuers;
+  std::vector<GrantBook> mBooks;
+  std::vector<SpillPolicy> mPolicies;
+  std::array<std::uint32_t, kHosts> mDemand{};
+};
+
+} // namespace
+
+TEST_GROUP(Grants){};
+
+// Guards against grants of one data centre that add up to more than its cap
+// through delays, losses, duplicates, reordering or restarts.
+TEST(Grants, CapHoldsJointlyOverAllHosts)
+{
+  CHECK_PROPERTY("held slots and running requests within the cap", [] {
+    Exchange exchange;
+    const auto n = *rc::gen::inRange(0, 400);
+    for (int it = 0; it < n; ++it) {
+      exchange.Step(*rc::gen::inRange<std::uint32_t>(0, 4096));
+      exchange.Check();
+    }
+  });
+}
+
+// Guards against growth that hits cold caches faster than the ramp.
+TEST(Grants, GrowthWithinASecondStaysBelowTheRamp)
+{
+  CHECK_PROPERTY("growth of at most the ramp", [] {
+    const auto ramp = *rc::gen::inRange<std::uint32_t>(1, 20);
+    GrantIssuer issuer({ SlotCount(1000), SlotCount(ramp), {} }, kStart);
+    base::Random random(1);
+    base::TimePoint now = kStart + kGrantLifetime;
+    std::vector<std::pair<base::TimePoint, std::uint32_t>> levels;
+    for (std::uint64_t it = 1; it <= 60; ++it) {
+      now += std::chrono::milliseconds(*rc::gen::inRange(0, 300));
+      issuer.OnMeasured(now, { SlotCount(1000), SlotCount(0) });
+      levels.emplace_back(now, issuer.Committed(now).Count());
+      issuer.OnRequest(now, Sender(it % 3), Correlation(it),
+                       SlotCount(*rc::gen::inRange<std::uint32_t>(0, 60)),
+                       random);
+      levels.emplace_back(now, issuer.Committed(now).Count());
+      for (const auto& [time, level] : levels) {
+        RC_ASSERT(now - time > 1s || levels.back().second <= level + ramp);
+      }
+    }
+  });
+}
+
+// Guards against a restarted host that grants while earlier grants live, and
+// against grants without a current measurement.
+TEST(Grants, NothingIsIssuedAfterARestartOrWithoutMeasurement)
+{
+  GrantIssuer issuer({ SlotCount(10), SlotCount(10), {} }, kStart);
+  base::Random random(1);
+  std::uint64_t correlation = 0;
+  const auto ask = [&](base::TimePoint aNow) {
+    return issuer
+      .OnRequest(aNow, Sender(0), Correlation(++correlation), SlotCount(2),
+                 random)
+      .mSlots.Count();
+  };
+  CHECK_EQUAL(0U, ask(kStart + 3s));
+  issuer.OnMeasured(kStart, { SlotCount(10), SlotCount(0) });
+  CHECK_EQUAL(0U, ask(kStart + 1s));
+  issuer.OnMeasured(kStart + 2s, { SlotCount(10), SlotCount(0) });
+  CHECK_EQUAL(2U, ask(kStart + 2s));
+  CHECK_EQUAL(0U, ask(kStart + 4s));
+}
+
+// Guards against two uses of one answer and against grants that live longer
+// because the answer was slow.
+TEST(Grants, DelayShortensAndDuplicatesDontAdd)
+{
+  GrantIssuer issuer({ SlotCount(10), SlotCount(10), {} }, kStart);
+  GrantBook book(base::Incarnation(1));
+  base::Random random(1);
+  const base::TimePoint asked = kStart + 2s;
+  issuer.OnMeasured(asked, { SlotCount(10), SlotCount(0) });
+  const auto ask = book.Ask(asked, Receiver(0), SlotCount(2));
+  const auto offer = issuer.OnRequest(asked + 900ms, Sender(0),
+                                      ask->mCorrelation, ask->mSlots, random);
+  const auto again = issuer.OnRequest(asked + 950ms, Sender(0),
+                                      ask->mCorrelation, ask->mSlots, random);
+  CHECK_TRUE(offer.mToken == again.mToken);
+  CHECK_EQUAL(2U, issuer.Committed(asked + 950ms).Count());
+  book.OnOffer(Receiver(0), offer);
+  CHECK_EQUAL(2U, book.Slots(asked + 1800ms, Receiver(0)).Count());
+  CHECK_EQUAL(0U, book.Slots(asked + 1900ms, Receiver(0)).Count());
+  // A request that still runs occupies its slot after the grant's end.
+  CHECK_TRUE(issuer.Admit(asked + 1s, Sender(0), offer.mToken));
+  CHECK_EQUAL(1U, issuer.Committed(asked + 10s).Count());
+  CHECK_FALSE(issuer.Admit(asked + 10s, Sender(0), offer.mToken));
+}
+
+// Guards against a raised portion that counts while another host of the data
+// centre still uses the old configuration.
+TEST(Grants, RaisedPortionCountsLaterLoweredOneAtOnce)
+{
+  GrantIssuer issuer({ SlotCount(4), SlotCount(100), {} }, kStart);
+  base::Random random(1);
+  const auto grant = [&](base::TimePoint aNow, std::uint64_t aCorrelation) {
+    issuer.OnMeasured(aNow, { SlotCount(50), SlotCount(0) });
+    return issuer
+      .OnRequest(aNow, Sender(0), Correlation(aCorrelation), SlotCount(50),
+                 random)
+      .mSlots.Count();
+  };
+  issuer.Configure(kStart + 10s, { SlotCount(8), SlotCount(100), {} });
+  CHECK_EQUAL(4U, grant(kStart + 15s, 1));
+  CHECK_EQUAL(8U, grant(kStart + 16s, 2));
+  issuer.Configure(kStart + 20s, { SlotCount(3), SlotCount(100), {} });
+  CHECK_EQUAL(3U, grant(kStart + 20s, 3));
+}
+
+// Guards against grants whose transfers exceed what the link may carry.
+TEST(Grants, LinkLimitsTheGrant)
+{
+  const LinkBudget link{ base::ByteCount(1000000), base::ByteCount(500000),
+                         2s };
+  CHECK_EQUAL(4U, SlotsOfLink(link).Count());
+  GrantIssuer issuer({ SlotCount(40), SlotCount(40), link }, kStart);
+  base::Random random(1);
+  issuer.OnMeasured(kStart + 2s, { SlotCount(50), SlotCount(0) });
+  const auto offer = issuer.OnRequest(kStart + 2s, Sender(0), Correlation(1),
+                                      SlotCount(20), random);
+  CHECK_EQUAL(4U, offer.mSlots.Count());
+}
+
+TEST_GROUP(SpillPolicy){};
+
+// Guards against grants asked of remote regions while the own one has room.
+TEST(SpillPolicy, AsksTheOwnRegionFirst)
+{
+  SpillPolicy policy(Sender(0), base::RegionId("a"));
+  policy.SetTargets(
+    { { Receiver(1), base::DataCentreId("b1"), base::RegionId("b"), 20ms },
+      { Receiver(2), base::DataCentreId("a2"), base::RegionId("a"), 1ms } });
+  GrantBook book(base::Incarnation(1));
+  auto asks = policy.Plan(kStart, { SlotCount(3) }, book);
+  CHECK_EQUAL(1U, asks.size());
+  CHECK_TRUE(asks[0].mReceiver == Receiver(2));
+  book.OnOffer(Receiver(2), { asks[0].mCorrelation, SlotCount(1), GrantToken(7),
+                              kGrantLifetime });
+  asks = policy.Plan(kStart + 100ms, { SlotCount(3) }, book);
+  CHECK_EQUAL(2U, asks.size());
+  CHECK_TRUE(asks[1].mReceiver == Receiver(1));
+  CHECK_EQUAL(2U, asks[1].mSlots.Count());
+  CHECK_TRUE(policy.Plan(kStart + 5s, { SlotCount(0) }, book).empty());
+}
+
+// Guards against work that waits longer than 5 s although it fits, and
+// against hosts loaded above their capacity, after one of three regions is
+// lost at up to 60% load, however the lost work falls on the others.
+TEST(SpillPolicy, WorkOfALostRegionIsServedWithinFiveSeconds)
+{
+  base::Duration longest{};
+  CHECK_PROPERTY("served within 5 s, no host above capacity", [&] {
+    RegionLoss model;
+    const auto load = *rc::gen::inRange<std::uint32_t>(0, 19);
+    for (std::size_t it = RegionLoss::kPerRegion; it < RegionLoss::kHosts;
+         ++it) {
+      model.AddLoad(it, load);
+    }
+    RC_ASSERT(model.RunUntilServed(1s) == RegionLoss::kStep);
+    std::uint32_t lost = load * RegionLoss::kPerRegion;
+    while (lost > 0) {
+      const auto part = *rc::gen::inRange<std::uint32_t>(1, lost + 1);
+      model.AddLoad(
+        *rc::gen::inRange(RegionLoss::kPerRegion, RegionLoss::kHosts), part);
+      lost -= part;
+    }
+    const base::Duration time = model.RunUntilServed(6s);
+    longest = std::max(longest, time);
+    RC_ASSERT(time <= 5s);
+  });
+  std::printf("longest time until all work of a lost region is served: "
+              "%.2f s\n",
+              std::chrono::duration<double>(longest).count());
+}
