Number platform calls of a claim log from a random start

Ruled out: cancelling such results only in the model, which would leave the fault to the daemon. Change: the numbers start at a random value. The model now waits for pauses and slow messages to end before it claims keys again: a host still paused, or a late claim of a dead incarnation, isn't a key that stays blocked. Conclusion: results are matched by numbers that no other log uses.

--- a/packages/idempotency/src/ChainReader.h
+++ b/packages/idempotency/src/ChainReader.h
@@ -11,10 +11,18 @@
 
 namespace auburnmux::idempotency {
 
-/** Numbers the calls of one log. */
+/**
+ * Numbers the calls of one log from a random start, so that a result meant for
+ * an earlier log of the same partition on this host fits no call of this one.
+ */
 class CallCounter
 {
 public:
+  explicit CallCounter(base::Random& aRandom)
+    : mLast(aRandom.Next())
+  {
+  }
+
   CallNumber Next()
   {
     mLast += CallNumber(1);
--- a/packages/idempotency/src/ClaimLog.h
+++ b/packages/idempotency/src/ClaimLog.h
@@ -51,6 +51,7 @@
 class ClaimLog
 {
 public:
+  /** \a aSeed must differ from that of any other log, here or elsewhere. */
   ClaimLog(ClaimLogSettings aSettings, std::uint64_t aSeed);
   ClaimLog(const ClaimLog&) = delete;
   ClaimLog& operator=(const ClaimLog&) = delete;
--- a/packages/idempotency/src/SegmentChain.cpp
+++ b/packages/idempotency/src/SegmentChain.cpp
@@ -14,6 +14,7 @@
   : mIndex(aIndex)
   , mSealAt(aSealAt)
   , mRandom(aSeed)
+  , mCalls(mRandom)
 {
 }
 
--- a/packages/idempotency/test/support/ClaimModel.h
+++ b/packages/idempotency/test/support/ClaimModel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <map>
@@ -110,11 +111,13 @@
   {
     mFaults = { 0, 0, 0, 0, 0, 0, 0, 0 };
     mOutageUntil = 0;
+    std::int64_t resumed = mMs;
     for (Host& it : mHosts) {
-      it.mPausedUntil = 0;
+      resumed = std::max(resumed, it.mPausedUntil);
       it.mOwner = 0;
     }
-    Advance(2500);
+    // Long enough for the slowest message on its way and a resent outcome.
+    Advance(resumed - mMs + 4500);
     std::vector<Settled> claims;
     for (const auto& it : mKeys) {
       if (!MayBeExpired(it.second)) {
