Fix shared ports and connection reuse in packages/http

Cause: (1) two servers on one port and different addresses: libwebsockets rebinds a connection to a vhost that it finds by the Host field or, failing that, by the port alone, so every server but the first lost its requests to the first. Destroying a server left its listening socket open, with a dangling pointer to the destroyed server behind it. (2) The client never reused a connection: libwebsockets compares the Host text (address and port) of the kept connection with the address of the new one.

Ruled out: naming the vhost by address mends the choice for a matching Host field, but not the listening socket that outlives lws_vhost_destroy() (address sanitizer: use after free on the next connection).

Change: Listener accepts connections itself; all servers of a loop share one vhost, and a connection belongs to the server that accepted it. The Host field goes without the port. ConnectionObserver lets the owner of a server count, limit and reach its connections, which had no bound.

Conclusion: the Host field of a request lacks the port, which a strict upstream may mind; libwebsockets 4.1 gives no way to set both.

--- a/packages/http/src/Client.cpp
+++ b/packages/http/src/Client.cpp
@@ -138,14 +138,14 @@
 lws* Client::Impl::Connect(const ClientRequest& aRequest, lws_vhost* aVhost,
                            ClientConnection* aConnection) const
 {
-  const std::string host = aRequest.mEndpoint.mAddress + ':' +
-                           std::to_string(aRequest.mEndpoint.mPort.Count());
   lws_client_connect_info info{};
   info.context = mLoop.Context();
   info.address = aRequest.mEndpoint.mAddress.c_str();
   info.port = aRequest.mEndpoint.mPort.Count();
   info.path = aRequest.mTarget.c_str();
-  info.host = host.c_str();
+  // libwebsockets reuses a kept connection only when host and address are the
+  // same text, so the Host field goes without the port.
+  info.host = info.address;
   info.method = aRequest.mMethod.c_str();
   info.protocol = "client";
   info.local_protocol_name = "client";
--- /dev/null
+++ b/packages/http/src/Listener.cpp
@@ -0,0 +1,81 @@
+#include "http/src/Listener.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace auburnmux::http::internal {
+
+namespace {
+
+constexpr int kBacklog = 1024;
+
+// Connections accepted in one turn of the loop, so that a burst of them takes
+// no long turn from open ones.
+constexpr int kTurnAccepts = 64;
+
+int OpenSocket(const Endpoint& aListen)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aListen.mPort.Count());
+  if (inet_pton(AF_INET, aListen.mAddress.c_str(), &address.sin_addr) != 1) {
+    return -1;
+  }
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (fd >= 0 &&
+      (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 ||
+       listen(fd, kBacklog) != 0)) {
+    close(fd);
+    return -1;
+  }
+  return fd;
+}
+
+} // namespace
+
+Listener::Listener(Loop& aLoop, const Endpoint& aListen, OnAccept aOnAccept)
+  : mLoop(aLoop)
+  , mOnAccept(std::move(aOnAccept))
+  , mSocket(OpenSocket(aListen))
+{
+  if (mSocket >= 0) {
+    mWatch = mLoop.Watch(mSocket, [this] { Accept(); });
+  }
+}
+
+Listener::~Listener()
+{
+  Close();
+}
+
+void Listener::Close()
+{
+  if (mSocket >= 0) {
+    mLoop.Unwatch(mWatch);
+    // The loop holds a duplicate for a moment; this refuses at once.
+    shutdown(mSocket, SHUT_RDWR);
+    close(mSocket);
+    mSocket = -1;
+  }
+}
+
+void Listener::Accept()
+{
+  for (int i = 0; i < kTurnAccepts && mSocket >= 0; ++i) {
+    const int fd =
+      accept4(mSocket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+      return;
+    }
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    mOnAccept(fd);
+  }
+}
+
+} // namespace auburnmux::http::internal
--- /dev/null
+++ b/packages/http/src/Listener.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "http/src/Loop.h"
+#include "http/src/Message.h"
+
+#include <functional>
+
+namespace auburnmux::http::internal {
+
+/** A listening IPv4 socket that hands over what it accepts. */
+class Listener
+{
+public:
+  /** Takes over the accepted, non-blocking descriptor. */
+  using OnAccept = std::function<void(int aDescriptor)>;
+
+  Listener(Loop& aLoop, const Endpoint& aListen, OnAccept aOnAccept);
+  ~Listener();
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+  bool IsListening() const { return mSocket >= 0; }
+  /** Closes the socket; later connections are refused. */
+  void Close();
+
+private:
+  void Accept();
+
+  Loop& mLoop;
+  OnAccept mOnAccept;
+  int mSocket = -1;
+  Loop::WatchId mWatch;
+};
+
+} // namespace auburnmux::http::internal
--- a/packages/http/src/Loop.cpp
+++ b/packages/http/src/Loop.cpp
@@ -135,7 +135,8 @@
   assert(mImpl->mContext != nullptr);
 
   lws_context_creation_info watch{};
-  watch.port = CONTEXT_PORT_NO_LISTEN_SERVER;
+  // Not a server's: libwebsockets would bind requests to it by its port.
+  watch.port = CONTEXT_PORT_NO_LISTEN;
   watch.vhost_name = "watch";
   watch.protocols = kWatchProtocols;
   mImpl->mWatchHost = lws_create_vhost(mImpl->mContext, &watch);
--- a/packages/http/src/Server.cpp
+++ b/packages/http/src/Server.cpp
@@ -1,10 +1,13 @@
 #include "http/src/Server.h"
 
 #include "http/src/Internal.h"
+#include "http/src/Listener.h"
 #include "http/src/ServerConnection.h"
 
 #include <array>
+#include <cassert>
 #include <libwebsockets.h>
+#include <unistd.h>
 #include <unordered_map>
 #include <utility>
 
@@ -15,11 +18,16 @@
 struct Server::Impl
 {
   Handler mHandler;
-  std::string mAddress;
+  ConnectionObserver* mObserver = nullptr;
   lws_vhost* mVhost = nullptr;
+  std::unique_ptr<internal::Listener> mListener;
   bool mClosesAfterResponses = false;
   std::unordered_map<lws*, std::shared_ptr<ServerConnection>> mConnections;
+  // Descriptors of all open connections.
+  std::unordered_map<lws*, int> mDescriptors;
 
+  void Adopt(int aDescriptor);
+  void HandleDestroyed(lws* aWsi);
   int HandleRequest(lws* aWsi, std::string_view aPath);
   int HandleEvent(lws* aWsi, lws_callback_reasons aReason,
                   std::string_view aData);
@@ -36,17 +44,20 @@
 int OnServerEvent(lws* aWsi, lws_callback_reasons aReason, void* /*aUser*/,
                   void* aIn, std::size_t aLength)
 {
+  auto* server = static_cast<Server::Impl*>(lws_get_opaque_user_data(aWsi));
+  if (server == nullptr) {
+    return 0;
+  }
+  if (aReason == LWS_CALLBACK_WSI_DESTROY) {
+    server->HandleDestroyed(aWsi);
+    return 0;
+  }
   if (aReason != LWS_CALLBACK_HTTP && aReason != LWS_CALLBACK_HTTP_BODY &&
       aReason != LWS_CALLBACK_HTTP_BODY_COMPLETION &&
       aReason != LWS_CALLBACK_HTTP_WRITEABLE &&
       aReason != LWS_CALLBACK_CLOSED_HTTP) {
     return 0;
   }
-  auto* server =
-    static_cast<Server::Impl*>(lws_get_vhost_user(lws_get_vhost(aWsi)));
-  if (server == nullptr) {
-    return 0;
-  }
   const std::string_view data(static_cast<const char*>(aIn),
                               aIn == nullptr ? 0 : aLength);
   return server->HandleEvent(aWsi, aReason, data);
@@ -57,6 +68,27 @@
   { nullptr, nullptr, 0, 0, 0, nullptr, 0 }
 };
 
+/**
+ * \returns the vhost that all servers of the loop share. libwebsockets chooses
+ * among several by the Host field, whichever server accepted.
+ */
+lws_vhost* FindVhost(const Loop& aLoop)
+{
+  constexpr const char* kName = "server";
+  lws_vhost* vhost = lws_get_vhost_by_name(aLoop.Context(), kName);
+  if (vhost == nullptr) {
+    lws_context_creation_info info{};
+    info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
+    info.vhost_name = kName;
+    info.protocols = kServerProtocols;
+    info.timeout_secs = kHeadTimeoutSeconds;
+    info.keepalive_timeout = kKeepAliveSeconds;
+    vhost = lws_create_vhost(aLoop.Context(), &info);
+    assert(vhost != nullptr);
+  }
+  return vhost;
+}
+
 std::string ReadMethod(lws* aWsi)
 {
   constexpr std::array<std::pair<lws_token_indexes, const char*>, 7>
@@ -129,6 +161,34 @@
   }
 }
 
+void Server::Impl::Adopt(int aDescriptor)
+{
+  if (mObserver != nullptr && !mObserver->OnOpen(aDescriptor)) {
+    close(aDescriptor);
+    return;
+  }
+  lws* wsi = lws_adopt_socket_vhost(mVhost, aDescriptor);
+  if (wsi != nullptr) {
+    mDescriptors[wsi] = aDescriptor;
+    lws_set_opaque_user_data(wsi, this);
+  } else if (mObserver != nullptr) {
+    mObserver->OnClose(aDescriptor);
+  }
+}
+
+void Server::Impl::HandleDestroyed(lws* aWsi)
+{
+  const auto it = mDescriptors.find(aWsi);
+  if (it == mDescriptors.end()) {
+    return;
+  }
+  const int descriptor = it->second;
+  mDescriptors.erase(it);
+  if (mObserver != nullptr) {
+    mObserver->OnClose(descriptor);
+  }
+}
+
 int Server::Impl::HandleRequest(lws* aWsi, std::string_view aPath)
 {
   RequestHead head = ReadHead(aWsi, aPath);
@@ -196,33 +256,30 @@
   return result;
 }
 
-Server::Server(Loop& aLoop, const Endpoint& aListen, Handler aHandler)
+Server::Server(Loop& aLoop, const Endpoint& aListen, Handler aHandler,
+               ConnectionObserver* aConnections)
   : mImpl(std::make_unique<Impl>())
 {
   mImpl->mHandler = std::move(aHandler);
-  mImpl->mAddress = aListen.mAddress;
-  lws_context_creation_info info{};
-  info.port = aListen.mPort.Count();
-  info.iface = mImpl->mAddress.c_str();
-  info.vhost_name = "server";
-  info.protocols = kServerProtocols;
-  info.user = mImpl.get();
-  info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
-  info.timeout_secs = kHeadTimeoutSeconds;
-  info.keepalive_timeout = kKeepAliveSeconds;
-  mImpl->mVhost = lws_create_vhost(aLoop.Context(), &info);
+  mImpl->mObserver = aConnections;
+  mImpl->mVhost = FindVhost(aLoop);
+  mImpl->mListener = std::make_unique<internal::Listener>(
+    aLoop, aListen,
+    [impl = mImpl.get()](int aDescriptor) { impl->Adopt(aDescriptor); });
 }
 
 Server::~Server()
 {
-  if (mImpl->mVhost != nullptr) {
-    lws_vhost_destroy(mImpl->mVhost);
+  mImpl->mListener->Close();
+  const auto descriptors = mImpl->mDescriptors;
+  for (const auto& [wsi, descriptor] : descriptors) {
+    lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
   }
 }
 
 bool Server::IsListening() const
 {
-  return mImpl->mVhost != nullptr;
+  return mImpl->mListener->IsListening();
 }
 
 std::size_t Server::ActiveExchanges() const
--- a/packages/http/src/Server.h
+++ b/packages/http/src/Server.h
@@ -60,6 +60,17 @@
   void Respond(int aStatus, Headers aHeaders, std::string_view aBody);
 };
 
+/** Sees the connections of a Server, apart from their requests. */
+class ConnectionObserver
+{
+public:
+  virtual ~ConnectionObserver() = default;
+  /** \returns whether the new connection on \a aDescriptor is kept. */
+  virtual bool OnOpen(int aDescriptor) = 0;
+  /** A connection that was kept is gone; so is its descriptor. */
+  virtual void OnClose(int aDescriptor) = 0;
+};
+
 /** An HTTP/1.1 server on one address. */
 class Server
 {
@@ -69,9 +80,11 @@
   /**
    * Listens on \a aListen and hands each request to \a aHandler once its
    * head has arrived. Requests with an unacceptable head are refused with a
-   * 4xx or 5xx before the handler sees them.
+   * 4xx or 5xx before the handler sees them. \a aConnections is optional and
+   * must outlive the server.
    */
-  Server(Loop& aLoop, const Endpoint& aListen, Handler aHandler);
+  Server(Loop& aLoop, const Endpoint& aListen, Handler aHandler,
+         ConnectionObserver* aConnections = nullptr);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -319,3 +319,102 @@
     STRCMP_EQUAL("own", result.mBody.c_str());
   }
 }
+
+namespace {
+
+class CountingObserver final : public http::ConnectionObserver
+{
+public:
+  bool OnOpen(int /*aDescriptor*/) override { return ++mOpen <= mLimit; }
+  void OnClose(int /*aDescriptor*/) override { --mOpen; }
+
+  int mOpen = 0;
+  int mLimit = 1;
+};
+
+} // namespace
+
+// Guards against a request that reaches another server of the same port, which
+// happened for every server but the first.
+TEST(Http, ServersOfOnePortAnswerAtTheirOwnAddress)
+{
+  const base::PortNumber port(19232);
+  std::vector<std::unique_ptr<http::Server>> servers;
+  const auto listen = [&](const std::string& aAddress) {
+    return std::make_unique<http::Server>(
+      mLoop, http::Endpoint{ aAddress, port },
+      [aAddress](const std::shared_ptr<ServerExchange>& aExchange) {
+        aExchange->Respond(200, {}, aAddress);
+      });
+  };
+  const std::vector<std::string> addresses = { "127.0.0.1", "127.0.0.2",
+                                               "127.0.0.3" };
+  servers.reserve(addresses.size());
+  for (const std::string& it : addresses) {
+    servers.push_back(listen(it));
+  }
+  for (int round = 0; round < 2; ++round) {
+    for (const std::string& it : addresses) {
+      STRCMP_EQUAL(it.c_str(), Fetch({ { it, port } }).mBody.c_str());
+    }
+    const std::string request =
+      "GET / HTTP/1.1\r\nHost: 127.0.0.3\r\nConnection: close\r\n\r\n";
+    CHECK_TRUE(Exchange(port, request).find("127.0.0.1") != std::string::npos);
+  }
+  servers[1].reset();
+  CHECK_TRUE(Fetch({ { addresses[1], port } }).mFailure.has_value());
+  STRCMP_EQUAL("127.0.0.3", Fetch({ { addresses[2], port } }).mBody.c_str());
+  servers[1] = listen(addresses[1]);
+  STRCMP_EQUAL("127.0.0.2", Fetch({ { addresses[1], port } }).mBody.c_str());
+}
+
+// Guards against a connection count that drifts, which would turn a limit on
+// connections into an outage.
+TEST(Http, ConnectionObserverSeesEachConnectionOnce)
+{
+  const base::PortNumber port(19233);
+  CountingObserver observer;
+  {
+    http::Server server(
+      mLoop, { kAddress, port },
+      [](const std::shared_ptr<ServerExchange>& aExchange) {
+        aExchange->Respond(200, {}, "x");
+      },
+      &observer);
+    http::ClientRequest request{ { kAddress, port } };
+    for (int i = 0; i < 3; ++i) {
+      CHECK_TRUE(Fetch(request).IsOk());
+    }
+    CHECK_EQUAL(1, observer.mOpen);
+    request.mNeedsFreshConnection = true;
+    CHECK_TRUE(Fetch(request).mFailure.has_value());
+    CHECK_EQUAL(2, observer.mOpen); // the refused one has no OnClose()
+    observer.mOpen = 1;
+    observer.mLimit = 2;
+    CHECK_TRUE(Fetch(request).IsOk());
+  }
+  CHECK_EQUAL(0, observer.mOpen);
+}
+
+// Guards against a connection for each request, which a client that asked for
+// the Host field with a port got from libwebsockets.
+TEST(Http, SequentialRequestsShareOneConnection)
+{
+  const base::PortNumber port(19234);
+  CountingObserver observer;
+  observer.mLimit = 100;
+  http::Server server(
+    mLoop, { kAddress, port },
+    [](const std::shared_ptr<ServerExchange>& aExchange) {
+      aExchange->Observe(std::make_unique<EchoObserver>(aExchange));
+    },
+    &observer);
+  for (int i = 0; i < 20; ++i) {
+    const std::string body(static_cast<std::size_t>(i) * 5000, 'x');
+    const FetchResult result =
+      Fetch({ { kAddress, port }, "PUT", "/" + std::to_string(i) }, body);
+    CHECK_TRUE(result.IsOk());
+    CHECK_TRUE(i == 0 || result.mBody == body);
+  }
+  CHECK_EQUAL(1, observer.mOpen);
+}
