Steer waiting work to other data centres against grants

Cause: a data centre that is full, or without upstreams, refused work that others could take. Change: SpillService runs GrantIssuer and GrantBook for each service. Waiting requests move when a grant arrives; a request of another region's client counts against the same cap. A non-idempotent request moves only before its key is claimed, because the receiving host claims the key itself. Ruled out: numbering the hosts of a data centre to divide the cap, because views differ after a partition; every host takes the smallest portion. Conclusion: not yet proved across processes.

--- a/packages/daemon/src/Carriage.cpp
+++ b/packages/daemon/src/Carriage.cpp
@@ -117,7 +117,7 @@
   return it == mServices.end() ? nullptr : it->second.get();
 }
 
-void Carriage::Accept(std::shared_ptr<http::ServerExchange> aExchange)
+void Carriage::Accept(const std::shared_ptr<http::ServerExchange>& aExchange)
 {
   const http::RequestHead& head = aExchange->Head();
   ServiceRuntime* service = Find(SplitServicePath(head.mPath).mService);
@@ -133,7 +133,20 @@
     SendRefusal(*aExchange, *refusal);
     return;
   }
-  service->Accept(std::move(aExchange), std::move(std::get<RequestPlan>(plan)));
+  auto& accepted = std::get<RequestPlan>(plan);
+  if (!accepted.mGrant) {
+    accepted.mForeignRegion = mGates.mForeignRegion(head.mClientAddress);
+  }
+  service->Accept(aExchange, std::move(accepted));
+}
+
+std::vector<SlotMeasurement> Carriage::Measure() const
+{
+  std::vector<SlotMeasurement> result;
+  for (const auto& [id, service] : mServices) {
+    result.push_back(service->Measure());
+  }
+  return result;
 }
 
 std::size_t Carriage::OpenRequests() const
--- a/packages/daemon/src/Carriage.h
+++ b/packages/daemon/src/Carriage.h
@@ -27,7 +27,9 @@
     return mServices;
   }
   /** Takes over a request on a service's path. */
-  void Accept(std::shared_ptr<http::ServerExchange> aExchange);
+  void Accept(const std::shared_ptr<http::ServerExchange>& aExchange);
+  /** \returns what the grants of all services are computed from. */
+  std::vector<SlotMeasurement> Measure() const;
   /** \returns requests that are not finished. */
   std::size_t OpenRequests() const;
 
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -8,6 +8,7 @@
 #include "daemon/src/GracefulStop.h"
 #include "daemon/src/LookupService.h"
 #include "daemon/src/PlatformClaimStore.h"
+#include "daemon/src/SpillService.h"
 
 #include <random>
 
@@ -18,17 +19,6 @@
 constexpr base::Duration kLookupTick = std::chrono::seconds(1);
 constexpr base::Duration kHostListInterval = std::chrono::seconds(30);
 
-/** Used until grants exist: work stays in the data centre. */
-class NoSpill final : public SpillGate
-{
-public:
-  std::optional<SpillTicket> Take(const base::ServiceId&) override
-  {
-    return std::nullopt;
-  }
-  void Return(const base::ServiceId&, const SpillTicket&) override {}
-};
-
 peer::TransportSettings MakeTransportSettings(
   const config::HostSettings& aSettings, base::Incarnation aIncarnation)
 {
@@ -67,7 +57,7 @@
   LookupService mLookup;
   PlatformClaimStore mClaimStore;
   ClaimService mClaims;
-  NoSpill mSpill;
+  SpillService mSpill;
   retries::CrashQuarantine mQuarantine;
   Carriage mCarriage;
   AdminPages mPages;
@@ -112,11 +102,21 @@
   , mLookup(mShared, mCluster)
   , mClaimStore(mPlatform)
   , mClaims(mShared, mTransport, mCluster, mClaimStore)
+  , mSpill(
+      mShared, mTransport, mCluster, [this] { return mCarriage.Measure(); },
+      [this](const base::ServiceId& aService) {
+        if (ServiceRuntime* service = mCarriage.Find(aService)) {
+          service->MoveWaiting();
+        }
+      })
   , mCarriage(mShared, mCluster,
               { mClaims, mSpill, mQuarantine,
                 [this](const base::ServiceId& aService,
                        const retries::CrashRecord& aRecord) {
                   ReportCrash(aService, aRecord);
+                },
+                [this](const std::string& aAddress) {
+                  return mLookup.ForeignRegion(aAddress);
                 } })
   , mPages(
       { mShared, mCluster, mConfig, mLookup, mCarriage, mTransport, mPlatform })
@@ -135,6 +135,7 @@
   mConfig.Start();
   mClaims.Start();
   mCarriage.Start();
+  mSpill.Start();
   mStop.Start();
   mLookup.OnViewChanged();
   mLoop.Every(kLookupTick, [this] { mLookup.OnTick(); });
@@ -167,6 +168,10 @@
     case protocol::Envelope::kClaimQueryReply:
       mClaims.OnMessage(aEnvelope);
       return;
+    case protocol::Envelope::kGrantRequest:
+    case protocol::Envelope::kGrantReply:
+      mSpill.OnMessage(aEnvelope);
+      return;
     case protocol::Envelope::kCrashReport:
       OnCrashReport(aEnvelope.crash_report());
       return;
@@ -178,6 +183,7 @@
 void Daemon::Impl::OnViewChanged()
 {
   mLookup.OnViewChanged();
+  mSpill.OnViewChanged();
   if (const config::Snapshot* snapshot = mConfig.State().InForce()) {
     mCarriage.Configure(*snapshot);
   }
@@ -186,6 +192,7 @@
 void Daemon::Impl::OnConfigChanged(const config::Snapshot& aSnapshot)
 {
   mLookup.Configure(aSnapshot.mTopology);
+  mSpill.Configure(aSnapshot);
   mCarriage.Configure(aSnapshot);
 }
 
--- a/packages/daemon/src/LookupService.cpp
+++ b/packages/daemon/src/LookupService.cpp
@@ -48,9 +48,13 @@
 {
   std::vector<lookup::Block<lookup::Ipv4>> blocks;
   mSites.clear();
+  mSiteRegions.clear();
   for (const config::Site& site : aTopology.mSites) {
     const lookup::SiteNumber number(static_cast<std::uint16_t>(mSites.size()));
     mSites.push_back(site.mDataCentre);
+    const config::Region* region = aTopology.RegionOf(site.mDataCentre);
+    mSiteRegions.push_back(region == nullptr ? base::RegionId()
+                                             : region->mName);
     for (const config::AddressPrefix& it : site.mBlocks) {
       blocks.push_back(
         { it.mAddress, lookup::PrefixLength(it.mLength), number });
@@ -94,12 +98,30 @@
   if (aDataCentre) {
     return mRanking.FindCentre(base::DataCentreId(*aDataCentre));
   }
+  const auto site = SiteOf(aAddress);
+  return mRanking.FindCentre(site ? mSites[site->Count()]
+                                  : mShared.mSettings.mDataCentre);
+}
+
+std::optional<lookup::SiteNumber> LookupService::SiteOf(
+  const std::string& aAddress) const
+{
   const auto address = ParseIpv4(aAddress);
   const auto site = address ? mBlocks.Find(*address) : std::nullopt;
-  if (site && site->Count() < mSites.size()) {
-    return mRanking.FindCentre(mSites[site->Count()]);
+  return site && site->Count() < mSites.size() ? site : std::nullopt;
+}
+
+std::optional<base::RegionId> LookupService::ForeignRegion(
+  const std::string& aAddress) const
+{
+  const auto site = SiteOf(aAddress);
+  if (!site) {
+    return std::nullopt;
   }
-  return mRanking.FindCentre(mShared.mSettings.mDataCentre);
+  const base::RegionId& region = mSiteRegions[site->Count()];
+  const bool isForeign =
+    !region.IsEmpty() && region != mShared.mSettings.mRegion;
+  return isForeign ? std::optional(region) : std::nullopt;
 }
 
 std::string LookupService::Answer(
--- a/packages/daemon/src/LookupService.h
+++ b/packages/daemon/src/LookupService.h
@@ -31,7 +31,13 @@
                      const std::string& aAddress,
                      const std::optional<std::string>& aDataCentre) const;
 
+  /** \returns the region of the client at \a aAddress when its site is known
+   * and in another region than this host. */
+  std::optional<base::RegionId> ForeignRegion(
+    const std::string& aAddress) const;
+
 private:
+  std::optional<lookup::SiteNumber> SiteOf(const std::string& aAddress) const;
   std::optional<lookup::CentreIndex> CentreOf(
     const std::string& aAddress,
     const std::optional<std::string>& aDataCentre) const;
@@ -42,6 +48,7 @@
   lookup::BlockTable mBlocks;
   /** Data centre of each site, by its number. */
   std::vector<base::DataCentreId> mSites;
+  std::vector<base::RegionId> mSiteRegions;
   std::uint64_t mBlockVersion = 0;
 };
 
--- a/packages/daemon/src/RequestCarrier.cpp
+++ b/packages/daemon/src/RequestCarrier.cpp
@@ -139,6 +139,12 @@
              kQuarantineRetryAfter });
     return;
   }
+  if (!AdmitFromElsewhere()) {
+    Refuse({ 503, base::WorkOutcome::NotRun,
+             "the capacity for work of other data centres is used up",
+             kRetryAfter });
+    return;
+  }
   mService.Budget().OnRequest(now);
   mService.Hedge().OnRequest(now);
   const limits::AdmissionLoad load = mService.Load(mPlan.mClass, now);
@@ -165,6 +171,23 @@
   }
 }
 
+bool RequestCarrier::AdmitFromElsewhere()
+{
+  SpillGate& spill = mService.GetGates().mSpill;
+  if (mPlan.mGrant) {
+    if (!spill.Admit(mPlan.mService, mPlan.mOrigin, *mPlan.mGrant)) {
+      return false;
+    }
+    mAdmittedSender = mPlan.mOrigin;
+  } else if (mPlan.mForeignRegion) {
+    if (!spill.AdmitForeign(mPlan.mService, *mPlan.mForeignRegion)) {
+      return false;
+    }
+    mAdmittedSender = ForeignSender(*mPlan.mForeignRegion);
+  }
+  return true;
+}
+
 void RequestCarrier::Claim()
 {
   const auto hash = idempotency::HashRequest(
@@ -303,6 +326,17 @@
   }
 }
 
+bool RequestCarrier::TryMove()
+{
+  const auto self = shared_from_this();
+  if (!mIsQueued || !TrySpill()) {
+    return false;
+  }
+  mIsQueued = false;
+  mService.RemoveFromQueue(mId);
+  return true;
+}
+
 RequestCarrier::Dispatched RequestCarrier::TryDispatch()
 {
   const Shared& shared = mService.Context();
@@ -325,7 +359,7 @@
   // A request that another host forwarded is not forwarded again, and one
   // with a claim of its own is dispatched by this host only: the receiving
   // host would have to claim the same key.
-  if (mPlan.mGrant || mClaim || mIsFinished || mMayHaveRun) {
+  if (IsFromElsewhere() || mClaim || mIsFinished || mMayHaveRun) {
     return false;
   }
   const auto ticket = mService.GetGates().mSpill.Take(mPlan.mService);
@@ -334,6 +368,7 @@
   }
   http::Headers headers = ForwardedHeaders();
   headers.Set("auburnmux-grant", std::to_string(ticket->mToken));
+  headers.Set("auburnmux-origin", mService.Context().mSettings.mHost.Text());
   const std::string target = '/' + mPlan.mService.Text() + mPlan.mTarget;
   const base::AttemptId id = mService.NextAttemptId();
   mTickets.emplace(id, *ticket);
@@ -366,6 +401,7 @@
   const Shared& shared = mService.Context();
   http::Headers headers = mExchange->Head().mHeaders;
   headers.Remove("auburnmux-grant");
+  headers.Remove("auburnmux-origin");
   headers.Remove("expect");
   headers.Set("traceparent", mPlan.mTrace.ToHeader());
   const auto remaining =
@@ -693,7 +729,9 @@
     }
   }
   const bool wasCommitted = mCommitted == &aAttempt;
-  EndAttempt(aAttempt, FailureText(aKind));
+  EndAttempt(aAttempt, FailureText(aKind),
+             aKind == base::FailureKind::NotStarted ? TicketEnd::Refused
+                                                    : TicketEnd::Served);
   if (wasCommitted) {
     mExchange->Abort();
     Finish("truncated");
@@ -795,13 +833,14 @@
   }
 }
 
-void RequestCarrier::EndAttempt(UpstreamAttempt& aAttempt, const char* aResult)
+void RequestCarrier::EndAttempt(UpstreamAttempt& aAttempt, const char* aResult,
+                                TicketEnd aEnd)
 {
   AddSpan("attempt", aAttempt.StartTime(), TargetText(aAttempt.Target()),
           aResult);
   const auto ticket = mTickets.find(aAttempt.Id());
   if (ticket != mTickets.end()) {
-    mService.GetGates().mSpill.Return(mPlan.mService, ticket->second);
+    mService.GetGates().mSpill.Return(mPlan.mService, ticket->second, aEnd);
     mTickets.erase(ticket);
   }
   if (mCommitted == &aAttempt) {
@@ -860,6 +899,9 @@
   if (std::exchange(mIsQueued, false)) {
     mService.RemoveFromQueue(mId);
   }
+  if (mAdmittedSender) {
+    mService.GetGates().mSpill.OnAdmittedEnd(mPlan.mService, *mAdmittedSender);
+  }
   const Shared& shared = mService.Context();
   const char* workClass =
     mPlan.mClass == base::WorkClass::Short ? "short" : "long";
--- a/packages/daemon/src/RequestCarrier.h
+++ b/packages/daemon/src/RequestCarrier.h
@@ -47,6 +47,13 @@
   void OnRemovedFromQueue(const Refusal& aRefusal);
   /** Checks deadline, hedge and silent connections. */
   void OnTick(base::TimePoint aNow);
+  /** Moves a waiting request to another data centre, if a grant allows it.
+   * \returns whether it was moved. */
+  bool TryMove();
+  /** \returns whether the request waits in the queue. */
+  bool IsQueued() const { return mIsQueued; }
+  /** \returns whether the request came from another data centre's work. */
+  bool IsFromElsewhere() const { return mAdmittedSender.has_value(); }
   /** Ends an attempt that the straggler bound has chosen. */
   void OnStraggler(base::AttemptId aAttempt);
 
@@ -80,6 +87,7 @@
   bool IsStreamed() const { return mPlan.mClass == base::WorkClass::Long; }
   bool IsOnce() const { return mPlan.mKind == base::WorkKind::NonIdempotent; }
   void Admit();
+  bool AdmitFromElsewhere();
   void Claim();
   void DispatchOrQueue();
   Dispatched TryDispatch();
@@ -105,7 +113,8 @@
                      bool aIsBodyOmitted);
   void SettleClaim(base::WorkOutcome aOutcome);
   void CancelAttempts(const UpstreamAttempt* aExcept);
-  void EndAttempt(UpstreamAttempt& aAttempt, const char* aResult);
+  void EndAttempt(UpstreamAttempt& aAttempt, const char* aResult,
+                  TicketEnd aEnd = TicketEnd::Served);
   void RelayResponse(const http::ResponseHead& aHead, const std::string& aBody,
                      base::WorkOutcome aOutcome);
   http::ResponseHead RelayedHead(const http::ResponseHead& aHead,
@@ -133,6 +142,7 @@
   base::TimePoint mFirstDispatch;
   base::TimePoint mQueuedSince;
   std::optional<base::TimePoint> mHedgeAt;
+  std::optional<base::HostId> mAdmittedSender;
   bool mIsQueued = false;
   bool mIsGranted = false;
   bool mIsAnswered = false;
--- a/packages/daemon/src/RequestPlan.cpp
+++ b/packages/daemon/src/RequestPlan.cpp
@@ -86,7 +86,12 @@
   if (result.ec != std::errc() || result.ptr != text->data() + text->size()) {
     return NotRun(400, "auburnmux-grant is malformed");
   }
+  const auto origin = aHead.mHeaders.Find("auburnmux-origin");
+  if (!origin) {
+    return NotRun(400, "auburnmux-grant needs the header auburnmux-origin");
+  }
   aPlan.mGrant = token;
+  aPlan.mOrigin = base::HostId(std::string(*origin));
   return std::nullopt;
 }
 
--- a/packages/daemon/src/RequestPlan.h
+++ b/packages/daemon/src/RequestPlan.h
@@ -32,6 +32,10 @@
   std::optional<idempotency::IdempotencyKey> mKey;
   /** The grant against which another host forwarded the request. */
   std::optional<std::uint64_t> mGrant;
+  /** The host that forwarded the request against the grant. */
+  base::HostId mOrigin;
+  /** Region of the client when it is another one than the host's. */
+  std::optional<base::RegionId> mForeignRegion;
 };
 
 /** The first segment of a path names the service; the rest is its own. */
--- a/packages/daemon/src/ServiceRuntime.cpp
+++ b/packages/daemon/src/ServiceRuntime.cpp
@@ -211,6 +211,37 @@
   }
 }
 
+void ServiceRuntime::MoveWaiting()
+{
+  std::vector<std::shared_ptr<RequestCarrier>> waiting;
+  for (const auto& [id, carrier] : mCarriers) {
+    if (carrier->IsQueued()) {
+      waiting.push_back(carrier);
+    }
+  }
+  for (const auto& it : waiting) {
+    if (!it->TryMove()) {
+      return;
+    }
+  }
+}
+
+SlotMeasurement ServiceRuntime::Measure() const
+{
+  SlotMeasurement result;
+  result.mService = mFile.mService;
+  result.mShare = mUpstreams.TotalSlots();
+  for (const auto& [id, carrier] : mCarriers) {
+    if (carrier->IsQueued()) {
+      result.mWaiting += base::SlotCount(1);
+    }
+    if (!carrier->IsFromElsewhere()) {
+      result.mLocal += base::SlotCount(1);
+    }
+  }
+  return result;
+}
+
 std::size_t ServiceRuntime::InFlight() const
 {
   std::size_t n = 0;
--- a/packages/daemon/src/ServiceRuntime.h
+++ b/packages/daemon/src/ServiceRuntime.h
@@ -3,7 +3,7 @@
 #include "daemon/src/ClaimGate.h"
 #include "daemon/src/RequestCarrier.h"
 #include "daemon/src/Shared.h"
-#include "daemon/src/SpillGate.h"
+#include "daemon/src/SpillService.h"
 #include "daemon/src/UpstreamSet.h"
 
 #include "limits/Limits.h"
@@ -26,6 +26,9 @@
   SpillGate& mSpill;
   retries::CrashQuarantine& mQuarantine;
   CrashReporter mReportCrash;
+  /** \returns the region of a client's address when it is another one. */
+  std::function<std::optional<base::RegionId>(const std::string&)>
+    mForeignRegion;
 };
 
 /** All requests of one service at this host, and what they share. */
@@ -42,6 +45,10 @@
               RequestPlan aPlan);
   /** Checks deadlines, hedges, stalls and stragglers, and serves the queue. */
   void OnTick(base::TimePoint aNow);
+  /** Moves waiting requests to other data centres, as far as grants go. */
+  void MoveWaiting();
+  /** \returns what the grants to other data centres are computed from. */
+  SlotMeasurement Measure() const;
 
   std::size_t InFlight() const;
   std::uint32_t Queued() const;
--- a/packages/daemon/src/SpillGate.h
+++ b/packages/daemon/src/SpillGate.h
@@ -15,16 +15,44 @@
   std::uint64_t mToken = 0;
 };
 
-/** Where requests go that this data centre can't serve in time. */
+/** How the use of a ticket ended. */
+enum class TicketEnd
+{
+  Served,
+  /** The receiving host did not admit the request. */
+  Refused
+};
+
+/** Work that crosses between data centres, in both directions. */
 class SpillGate
 {
 public:
   virtual ~SpillGate() = default;
-  /** Takes one use of a live grant, and asks for grants when there is none. */
+
+  /** Takes one use of a live grant; notes the demand when there is none. */
   virtual std::optional<SpillTicket> Take(const base::ServiceId& aService) = 0;
   /** The request of a ticket ended. */
   virtual void Return(const base::ServiceId& aService,
-                      const SpillTicket& aTicket) = 0;
+                      const SpillTicket& aTicket, TicketEnd aEnd) = 0;
+
+  /** \returns whether a request that \a aSender forwarded may run here. */
+  virtual bool Admit(const base::ServiceId& aService,
+                     const base::HostId& aSender, std::uint64_t aToken) = 0;
+  /**
+   * \returns whether a request of a client of another region may run here; it
+   * counts against the same cap as forwarded work.
+   */
+  virtual bool AdmitForeign(const base::ServiceId& aService,
+                            const base::RegionId& aRegion) = 0;
+  /** An admitted request ended. */
+  virtual void OnAdmittedEnd(const base::ServiceId& aService,
+                             const base::HostId& aSender) = 0;
 };
 
+/** \returns the sender under which work of a region's clients is counted. */
+inline base::HostId ForeignSender(const base::RegionId& aRegion)
+{
+  return base::HostId("clients-of-" + aRegion.Text());
+}
+
 } // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/SpillService.cpp
@@ -0,0 +1,300 @@
+#include "daemon/src/SpillService.h"
+
+#include <utility>
+
+namespace auburnmux::daemon {
+
+namespace {
+
+constexpr std::uint64_t kBytesPerMegabit = 125000;
+
+// A grant lives 2 s and a sender holds at most 32 live ones.
+constexpr base::Duration kForeignAskInterval = std::chrono::milliseconds(100);
+
+base::SlotCount Scaled(base::SlotCount aSlots, double aShare)
+{
+  return base::SlotCount(
+    static_cast<std::uint32_t>(static_cast<double>(aSlots.Count()) * aShare));
+}
+
+/** \returns the lowest limit of this region's links, or 0 without links. */
+std::uint64_t NarrowestLink(const config::TopologyFile& aTopology,
+                            const base::RegionId& aRegion)
+{
+  std::uint64_t least = 0;
+  for (const config::Link& it : aTopology.mLinks) {
+    const bool isOwn = it.mLeft == aRegion || it.mRight == aRegion;
+    if (isOwn && (least == 0 || it.mLimit.Count() < least)) {
+      least = it.mLimit.Count();
+    }
+  }
+  return least;
+}
+
+} // namespace
+
+SpillService::SpillService(const Shared& aShared, peer::Transport& aTransport,
+                           const ClusterNode& aCluster, Measure aMeasure,
+                           Retry aRetry)
+  : mShared(aShared)
+  , mTransport(aTransport)
+  , mCluster(aCluster)
+  , mMeasure(std::move(aMeasure))
+  , mRetry(std::move(aRetry))
+  , mPolicy(aShared.mSettings.mHost, aShared.mSettings.mRegion)
+{
+}
+
+void SpillService::Start()
+{
+  mShared.mLoop.Every(steering::SpillPolicy::kPlanInterval,
+                      [this] { OnTick(); });
+}
+
+steering::IssuerSettings SpillService::SettingsOf(
+  const config::ServiceFile& aService,
+  const config::TopologyFile& aTopology) const
+{
+  const base::DataCentreId& own = mShared.mSettings.mDataCentre;
+  const config::DataCentre* centre = aTopology.FindDataCentre(own);
+  const std::uint32_t hosts =
+    centre == nullptr ? 1 : std::max(centre->mHostSlots.Count(), 1U);
+  const base::SlotCount cap =
+    Scaled(aService.SlotsIn(own), aService.mSpill.mMaxShare.Count());
+  steering::IssuerSettings settings;
+  // Every host takes the smallest portion, because hosts have no numbers.
+  settings.mPortion = steering::PortionOfCap(cap, hosts, hosts - 1);
+  settings.mRampPerSecond = aService.mSpill.mRampPerSecond;
+  const std::uint64_t link =
+    NarrowestLink(aTopology, mShared.mSettings.mRegion);
+  settings.mLink = {
+    base::ByteCount(link * kBytesPerMegabit / hosts),
+    base::ByteCount(aService.mSpill.mLinkPerSlot.Count() * kBytesPerMegabit),
+    link == 0 ? base::Duration::zero() : std::chrono::seconds(1)
+  };
+  return settings;
+}
+
+void SpillService::Configure(const config::Snapshot& aSnapshot)
+{
+  const base::TimePoint now = mShared.mLoop.Now();
+  mTopology = aSnapshot.mTopology;
+  for (const config::ServiceFile& it : aSnapshot.mServices) {
+    const auto settings = SettingsOf(it, mTopology);
+    const auto found = mServices.find(it.mService);
+    if (found != mServices.end()) {
+      found->second.mIssuer.Configure(now, settings);
+    } else {
+      mServices.emplace(it.mService,
+                        Service{ steering::GrantIssuer(settings, now),
+                                 steering::GrantBook(mShared.mIncarnation),
+                                 steering::GrantBook(mShared.mIncarnation), now,
+                                 0 });
+    }
+  }
+  OnViewChanged();
+}
+
+void SpillService::OnViewChanged()
+{
+  const base::DataCentreId& own = mShared.mSettings.mDataCentre;
+  std::vector<steering::SpillTarget> targets;
+  for (const membership::HostView& it : mCluster.View()) {
+    if (it.mState == membership::HostState::Alive &&
+        it.mHost.mDataCentre != own) {
+      targets.push_back({ it.mHost.mId, it.mHost.mDataCentre, it.mHost.mRegion,
+                          mTopology.OneWayDelay(own, it.mHost.mDataCentre) });
+    }
+  }
+  mPolicy.SetTargets(std::move(targets));
+}
+
+void SpillService::OnTick()
+{
+  const base::TimePoint now = mShared.mLoop.Now();
+  for (const SlotMeasurement& it : mMeasure()) {
+    const auto found = mServices.find(it.mService);
+    if (found == mServices.end()) {
+      continue;
+    }
+    Service& service = found->second;
+    service.mIssuer.OnMeasured(now, { it.mShare, it.mLocal });
+    const base::SlotCount waiting =
+      it.mWaiting + base::SlotCount(std::exchange(service.mUnmet, 0));
+    if (waiting > base::SlotCount(0)) {
+      Plan(it.mService, service, waiting);
+      mRetry(it.mService);
+    }
+  }
+}
+
+void SpillService::Plan(const base::ServiceId& aId, Service& aService,
+                        base::SlotCount aWaiting)
+{
+  const auto asks =
+    mPolicy.Plan(mShared.mLoop.Now(), { aWaiting }, aService.mBook);
+  for (const steering::GrantAsk& it : asks) {
+    const auto endpoint = mCluster.PeerEndpoint(it.mReceiver);
+    if (!endpoint) {
+      continue;
+    }
+    protocol::Envelope envelope;
+    auto& request = *envelope.mutable_grant_request();
+    request.set_correlation(it.mCorrelation.Count());
+    request.set_service(aId.Text());
+    request.set_sender_data_centre(mShared.mSettings.mDataCentre.Text());
+    request.set_slots(it.mSlots.Count());
+    mTransport.Send(*endpoint, envelope);
+  }
+}
+
+void SpillService::OnMessage(const protocol::Envelope& aEnvelope)
+{
+  const base::HostId from(aEnvelope.sender());
+  if (aEnvelope.has_grant_request()) {
+    OnGrantRequest(from, aEnvelope.grant_request());
+  } else if (aEnvelope.has_grant_reply()) {
+    OnGrantReply(from, aEnvelope.grant_reply());
+  }
+}
+
+void SpillService::OnGrantRequest(const base::HostId& aFrom,
+                                  const protocol::GrantRequest& aMessage)
+{
+  const auto it = mServices.find(base::ServiceId(aMessage.service()));
+  const auto endpoint = mCluster.PeerEndpoint(aFrom);
+  if (it == mServices.end() || !endpoint || mCluster.IsLeaving()) {
+    return;
+  }
+  const steering::GrantOffer offer = it->second.mIssuer.OnRequest(
+    mShared.mLoop.Now(), aFrom, steering::Correlation(aMessage.correlation()),
+    base::SlotCount(aMessage.slots()), mShared.mRandom);
+  const auto lifetime =
+    std::chrono::duration_cast<std::chrono::milliseconds>(offer.mLifetime);
+  protocol::Envelope envelope;
+  auto& reply = *envelope.mutable_grant_reply();
+  reply.set_correlation(offer.mCorrelation.Count());
+  reply.set_service(aMessage.service());
+  reply.set_slots(offer.mSlots.Count());
+  reply.set_token(offer.mToken.Count());
+  reply.set_lifetime_ms(static_cast<std::uint32_t>(lifetime.count()));
+  mTransport.Send(*endpoint, envelope);
+}
+
+void SpillService::OnGrantReply(const base::HostId& aFrom,
+                                const protocol::GrantReply& aMessage)
+{
+  const auto it = mServices.find(base::ServiceId(aMessage.service()));
+  if (it == mServices.end()) {
+    return;
+  }
+  const base::Duration lifetime =
+    std::min<base::Duration>(std::chrono::milliseconds(aMessage.lifetime_ms()),
+                             steering::kGrantLifetime);
+  it->second.mBook.OnOffer(
+    aFrom, { steering::Correlation(aMessage.correlation()),
+             base::SlotCount(aMessage.slots()),
+             steering::GrantToken(aMessage.token()), lifetime });
+  mRetry(it->first);
+}
+
+std::optional<SpillTicket> SpillService::Take(const base::ServiceId& aService)
+{
+  const auto it = mServices.find(aService);
+  if (it == mServices.end()) {
+    return std::nullopt;
+  }
+  const auto use = mPolicy.Place(mShared.mLoop.Now(), it->second.mBook);
+  if (!use) {
+    ++it->second.mUnmet;
+    return std::nullopt;
+  }
+  const auto endpoint = mCluster.HttpEndpoint(use->mReceiver);
+  if (!endpoint) {
+    it->second.mBook.OnFinished(use->mReceiver);
+    return std::nullopt;
+  }
+  return SpillTicket{ use->mReceiver, *endpoint, use->mToken.Count() };
+}
+
+void SpillService::Return(const base::ServiceId& aService,
+                          const SpillTicket& aTicket, TicketEnd aEnd)
+{
+  const auto it = mServices.find(aService);
+  if (it == mServices.end()) {
+    return;
+  }
+  if (aEnd == TicketEnd::Refused) {
+    it->second.mBook.OnRefused(
+      { aTicket.mHost, steering::GrantToken(aTicket.mToken) });
+  } else {
+    it->second.mBook.OnFinished(aTicket.mHost);
+  }
+}
+
+bool SpillService::Admit(const base::ServiceId& aService,
+                         const base::HostId& aSender, std::uint64_t aToken)
+{
+  const auto it = mServices.find(aService);
+  return it != mServices.end() &&
+         it->second.mIssuer.Admit(mShared.mLoop.Now(), aSender,
+                                  steering::GrantToken(aToken));
+}
+
+bool SpillService::AdmitForeign(const base::ServiceId& aService,
+                                const base::RegionId& aRegion)
+{
+  const auto it = mServices.find(aService);
+  if (it == mServices.end()) {
+    return false;
+  }
+  // The host grants slots to itself on behalf of the region's clients, so
+  // that cap and ramp hold for them and for forwarded work together.
+  const base::TimePoint now = mShared.mLoop.Now();
+  const base::HostId sender = ForeignSender(aRegion);
+  Service& service = it->second;
+  auto use = service.mForeign.TryUse(now, sender);
+  if (!use) {
+    AskForForeign(service, sender);
+    use = service.mForeign.TryUse(now, sender);
+  }
+  if (!use) {
+    return false;
+  }
+  if (!service.mIssuer.Admit(now, sender, use->mToken)) {
+    service.mForeign.OnFinished(sender);
+    return false;
+  }
+  return true;
+}
+
+void SpillService::AskForForeign(Service& aService, const base::HostId& aSender)
+{
+  constexpr base::SlotCount kHeadroom{ 8 };
+  const base::TimePoint now = mShared.mLoop.Now();
+  if (now < aService.mNextForeignAsk) {
+    return;
+  }
+  aService.mNextForeignAsk = now + kForeignAskInterval;
+  const auto ask = aService.mForeign.Ask(
+    now, aSender, aService.mForeign.InUse(aSender) + kHeadroom);
+  if (ask) {
+    aService.mForeign.OnOffer(
+      aSender, aService.mIssuer.OnRequest(now, aSender, ask->mCorrelation,
+                                          ask->mSlots, mShared.mRandom));
+  }
+}
+
+void SpillService::OnAdmittedEnd(const base::ServiceId& aService,
+                                 const base::HostId& aSender)
+{
+  const auto it = mServices.find(aService);
+  if (it != mServices.end()) {
+    it->second.mIssuer.OnFinished(aSender);
+    if (it->second.mForeign.InUse(aSender) > base::SlotCount(0)) {
+      it->second.mForeign.OnFinished(aSender);
+    }
+  }
+}
+
+} // namespace auburnmux::daemon
--- /dev/null
+++ b/packages/daemon/src/SpillService.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "daemon/src/ClusterNode.h"
+#include "daemon/src/Shared.h"
+#include "daemon/src/SpillGate.h"
+
+#include "steering/Steering.h"
+
+#include <functional>
+#include <map>
+
+namespace auburnmux::daemon {
+
+/** What this host's requests of one service do with its slots. */
+struct SlotMeasurement
+{
+  base::ServiceId mService;
+  /** Slots of this host's share. */
+  base::SlotCount mShare;
+  /** Requests that run or wait, forwarded work excluded. */
+  base::SlotCount mLocal;
+  /** Requests that wait for a slot. */
+  base::SlotCount mWaiting;
+};
+
+/** Runs the grants between data centres for all services of this host. */
+class SpillService final : public SpillGate
+{
+public:
+  using Measure = std::function<std::vector<SlotMeasurement>()>;
+  /** Lets the waiting requests of a service try their way again. */
+  using Retry = std::function<void(const base::ServiceId&)>;
+
+  SpillService(const Shared& aShared, peer::Transport& aTransport,
+               const ClusterNode& aCluster, Measure aMeasure, Retry aRetry);
+
+  void Start();
+  void Configure(const config::Snapshot& aSnapshot);
+  void OnViewChanged();
+  void OnMessage(const protocol::Envelope& aEnvelope);
+
+  std::optional<SpillTicket> Take(const base::ServiceId& aService) override;
+  void Return(const base::ServiceId& aService, const SpillTicket& aTicket,
+              TicketEnd aEnd) override;
+  bool Admit(const base::ServiceId& aService, const base::HostId& aSender,
+             std::uint64_t aToken) override;
+  bool AdmitForeign(const base::ServiceId& aService,
+                    const base::RegionId& aRegion) override;
+  void OnAdmittedEnd(const base::ServiceId& aService,
+                     const base::HostId& aSender) override;
+
+private:
+  struct Service
+  {
+    steering::GrantIssuer mIssuer;
+    steering::GrantBook mBook;
+    /** Grants that this host gives itself for clients of other regions. */
+    steering::GrantBook mForeign;
+    base::TimePoint mNextForeignAsk;
+    std::uint32_t mUnmet = 0;
+  };
+
+  void OnTick();
+  steering::IssuerSettings SettingsOf(
+    const config::ServiceFile& aService,
+    const config::TopologyFile& aTopology) const;
+  void OnGrantRequest(const base::HostId& aFrom,
+                      const protocol::GrantRequest& aMessage);
+  void OnGrantReply(const base::HostId& aFrom,
+                    const protocol::GrantReply& aMessage);
+  void Plan(const base::ServiceId& aId, Service& aService,
+            base::SlotCount aWaiting);
+  void AskForForeign(Service& aService, const base::HostId& aSender);
+
+  const Shared& mShared;
+  peer::Transport& mTransport;
+  const ClusterNode& mCluster;
+  Measure mMeasure;
+  Retry mRetry;
+  steering::SpillPolicy mPolicy;
+  config::TopologyFile mTopology;
+  std::map<base::ServiceId, Service> mServices;
+};
+
+} // namespace auburnmux::daemon
