Add ClassLimits and close gaps that mutations showed

Change: ClassLimits divides a host's concurrent requests between the classes; idle room of long work is lent to short work and not the other way round. The budget's bound on saved credit has a test now.

--- a/packages/limits/Limits.h
+++ b/packages/limits/Limits.h
@@ -4,6 +4,8 @@
 
 #include "limits/src/ConcurrencyLimit.h"
 
+#include "limits/src/ClassLimits.h"
+
 #include "limits/src/StragglerBound.h"
 
 #include "limits/src/QueueEntry.h"
--- a/packages/limits/test/ConcurrencyLimitTest.cpp
+++ b/packages/limits/test/ConcurrencyLimitTest.cpp
@@ -27,20 +27,22 @@
 // against a limit of 0 that would never be tested again.
 TEST(ConcurrencyLimit, StaysBetweenOneAndTheShare)
 {
-  CHECK_PROPERTY("1 <= limit <= share", [](std::vector<std::uint32_t> aEvents) {
-    ConcurrencyLimit limit(SlotCount(*rc::gen::inRange<std::uint32_t>(0, 12)));
-    for (const std::uint32_t it : aEvents) {
-      if (it % 11 == 0) {
-        limit.OnShed();
-      } else if (it % 7 == 0) {
-        limit.SetShare(SlotCount(it % 13));
-      } else {
-        Feed(limit, 1 + it % 20, 1 + it % 997, it % 2 == 0);
+  CHECK_PROPERTY(
+    "1 <= limit <= share", [](const std::vector<std::uint32_t>& aEvents) {
+      ConcurrencyLimit limit(
+        SlotCount(*rc::gen::inRange<std::uint32_t>(0, 12)));
+      for (const std::uint32_t it : aEvents) {
+        if (it % 11 == 0) {
+          limit.OnShed();
+        } else if (it % 7 == 0) {
+          limit.SetShare(SlotCount(it % 13));
+        } else {
+          Feed(limit, 1 + it % 20, 1 + it % 997, it % 2 == 0);
+        }
+        RC_ASSERT(limit.Limit() <= limit.Share());
+        RC_ASSERT(limit.Limit().Count() >= std::min(1U, limit.Share().Count()));
       }
-      RC_ASSERT(limit.Limit() <= limit.Share());
-      RC_ASSERT(limit.Limit().Count() >= std::min(1U, limit.Share().Count()));
-    }
-  });
+    });
 }
 
 // Guards against a host that keeps filling an upstream whose latency shows
@@ -67,6 +69,34 @@
   LONGS_EQUAL(9, limit.Limit().Count());
 }
 
+TEST_GROUP(ClassLimits){};
+
+// Guards against uploads that take the room of checks, and against checks that
+// keep waiting uploads out.
+TEST(ClassLimits, ReservationsHoldOverAnyHistory)
+{
+  CHECK_PROPERTY("class bounds", [](std::uint64_t aSeed) {
+    base::Random random(aSeed);
+    ClassLimits limits({ SlotCount(10), SlotCount(5), SlotCount(2) });
+    for (int i = 0; i < 300; ++i) {
+      const auto it = static_cast<base::WorkClass>(random.Below(2));
+      if (random.Below(3) > 0) {
+        limits.TryAcquire(it);
+      } else if (limits.InUse(it).Count() > 0) {
+        limits.Release(it);
+      }
+      limits.SetWaiting(base::WorkClass::Long, random.Below(2) == 0);
+      const auto shorts = limits.InUse(base::WorkClass::Short).Count();
+      const auto longs = limits.InUse(base::WorkClass::Long).Count();
+      RC_ASSERT(shorts + longs <= 10U);
+      RC_ASSERT(longs <= 5U);
+      limits.SetWaiting(base::WorkClass::Long, true);
+      const auto free = limits.Free(base::WorkClass::Short).Count();
+      RC_ASSERT(free == 0 || shorts + free <= 8U);
+    }
+  });
+}
+
 TEST_GROUP(StragglerBound){};
 
 // Guards against stragglers that hold most of an upstream, and against
--- a/packages/retries/test/RetryBudgetTest.cpp
+++ b/packages/retries/test/RetryBudgetTest.cpp
@@ -90,6 +90,15 @@
     ++spent;
   }
   CHECK_TRUE(spent <= 2);
+  for (int i = 0; i < 10000; ++i) {
+    budget.OnRequest(kStart + seconds(7200) + milliseconds(i));
+  }
+  // 100 are earned a second; one earlier second's worth is kept.
+  spent = 0;
+  while (budget.TrySpend(kStart + seconds(7209) + milliseconds(999))) {
+    ++spent;
+  }
+  CHECK_TRUE(spent >= 190 && spent <= 201);
 }
 
 // Guards against a budget that gives less than the fraction.
