--- a/packages/config/src/ObjectReader.cpp
+++ b/packages/config/src/ObjectReader.cpp
@@ -127,6 +127,20 @@
   return number;
 }
 
+bool ObjectReader::Boolean(const char* aKey)
+{
+  const JsonMember* member = Find(aKey);
+  if (member == nullptr) {
+    ReportMissing(aKey);
+    return false;
+  }
+  const auto* value = std::get_if<bool>(&member->mValue.mData);
+  if (value == nullptr) {
+    Report(*member, "true or false");
+  }
+  return value != nullptr && *value;
+}
+
 std::string ObjectReader::Text(const char* aKey, std::size_t aMaxLength,
                                const std::optional<std::string>& aDefault)
 {
--- a/packages/config/src/ObjectReader.h
+++ b/packages/config/src/ObjectReader.h
@@ -79,6 +79,8 @@
 
   std::uint64_t Number(const char* aKey, const NumberRule& aRule);
   double Decimal(const char* aKey, const DecimalRule& aRule);
+  /** \returns a required true or false; false after a finding. */
+  bool Boolean(const char* aKey);
 
   /** Reads a base::Quantity. */
   template<typename Amount>
