Detect a caller that closes while its request is answered

Cause: while a request is answered, libwebsockets neither reads the socket nor reports its close. The poll loop spins on the readable socket (one core) and the server works on for nobody, so neither a lost caller nor a cancelled hedge was ever seen.

Ruled out: stopping reads for the time of the answer ends the spin but also hides the close; peeking at each socket in a period costs a call for every request in flight.

Change: HangupMonitor, an edge-triggered epoll set for EPOLLRDHUP only, in which each connection is entered once. A caller that closes its sending side counts as gone, as in other proxies.

Conclusion: a caller that pipelines its next request during an answer still makes the loop spin until the answer is sent.

--- a/packages/http/src/Server.cpp
+++ b/packages/http/src/Server.cpp
@@ -1,5 +1,6 @@
 #include "http/src/Server.h"
 
+#include "http/src/HangupMonitor.h"
 #include "http/src/Internal.h"
 #include "http/src/Listener.h"
 #include "http/src/ServerConnection.h"
@@ -9,6 +10,7 @@
 #include <libwebsockets.h>
 #include <unistd.h>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace auburnmux::http {
@@ -21,12 +23,17 @@
   ConnectionObserver* mObserver = nullptr;
   lws_vhost* mVhost = nullptr;
   std::unique_ptr<internal::Listener> mListener;
+  std::unique_ptr<internal::HangupMonitor> mHangups;
   bool mClosesAfterResponses = false;
   std::unordered_map<lws*, std::shared_ptr<ServerConnection>> mConnections;
   // Descriptors of all open connections.
   std::unordered_map<lws*, int> mDescriptors;
+  std::unordered_map<int, lws*> mByDescriptor;
+  // Connections whose caller closed them before its request was read.
+  std::unordered_set<lws*> mHungUp;
 
   void Adopt(int aDescriptor);
+  void HandleHangup(int aDescriptor);
   void HandleDestroyed(lws* aWsi);
   int HandleRequest(lws* aWsi, std::string_view aPath);
   int HandleEvent(lws* aWsi, lws_callback_reasons aReason,
@@ -170,12 +177,27 @@
   lws* wsi = lws_adopt_socket_vhost(mVhost, aDescriptor);
   if (wsi != nullptr) {
     mDescriptors[wsi] = aDescriptor;
+    mByDescriptor[aDescriptor] = wsi;
+    mHangups->Add(aDescriptor);
     lws_set_opaque_user_data(wsi, this);
   } else if (mObserver != nullptr) {
     mObserver->OnClose(aDescriptor);
   }
 }
 
+void Server::Impl::HandleHangup(int aDescriptor)
+{
+  const auto it = mByDescriptor.find(aDescriptor);
+  if (it == mByDescriptor.end()) {
+    return;
+  }
+  mHungUp.insert(it->second);
+  // Without an exchange libwebsockets sees the close by itself.
+  if (Find(it->second)) {
+    lws_set_timeout(it->second, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
+  }
+}
+
 void Server::Impl::HandleDestroyed(lws* aWsi)
 {
   const auto it = mDescriptors.find(aWsi);
@@ -184,6 +206,8 @@
   }
   const int descriptor = it->second;
   mDescriptors.erase(it);
+  mHungUp.erase(aWsi);
+  mByDescriptor.erase(descriptor);
   if (mObserver != nullptr) {
     mObserver->OnClose(descriptor);
   }
@@ -227,6 +251,9 @@
                               std::string_view aData)
 {
   if (aReason == LWS_CALLBACK_HTTP) {
+    if (mHungUp.count(aWsi) > 0) {
+      return -1;
+    }
     const int result = HandleRequest(aWsi, aData);
     const auto connection = Find(aWsi);
     if (connection && connection->IsClosed()) {
@@ -263,6 +290,9 @@
   mImpl->mHandler = std::move(aHandler);
   mImpl->mObserver = aConnections;
   mImpl->mVhost = FindVhost(aLoop);
+  mImpl->mHangups = std::make_unique<internal::HangupMonitor>(
+    aLoop,
+    [impl = mImpl.get()](int aDescriptor) { impl->HandleHangup(aDescriptor); });
   mImpl->mListener = std::make_unique<internal::Listener>(
     aLoop, aListen,
     [impl = mImpl.get()](int aDescriptor) { impl->Adopt(aDescriptor); });
--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -418,3 +418,56 @@
   }
   CHECK_EQUAL(1, observer.mOpen);
 }
+
+namespace {
+
+class ClosedObserver final : public http::RequestObserver
+{
+public:
+  ClosedObserver(Loop& aLoop, int& aClosed)
+    : mLoop(aLoop)
+    , mClosed(aClosed)
+  {
+  }
+  void OnBody(std::string_view /*aPart*/) override {}
+  void OnBodyEnd() override {}
+  void OnClosed(bool aIsComplete) override
+  {
+    mClosed += aIsComplete ? 0 : 1;
+    mLoop.Stop();
+  }
+
+private:
+  Loop& mLoop;
+  int& mClosed;
+};
+
+} // namespace
+
+// Guards against work that goes on, and a loop that spins, after the caller
+// cancelled.
+TEST(Http, ServerSeesThatTheCallerCancelled)
+{
+  const base::PortNumber port(19235);
+  int closed = 0;
+  std::shared_ptr<ServerExchange> waiting;
+  http::Server server(mLoop, { kAddress, port },
+                      [&](const std::shared_ptr<ServerExchange>& aExchange) {
+                        waiting = aExchange;
+                        aExchange->Observe(
+                          std::make_unique<ClosedObserver>(mLoop, closed));
+                        mLoop.Stop();
+                      });
+  for (const std::string& body : { std::string(), std::string(9, 'x') }) {
+    const http::ClientRequest request{ { kAddress, port }, "PUT", "/" };
+    const auto exchange =
+      http::Fetch(mLoop, mClient, request, body, std::chrono::seconds(5),
+                  [](const FetchResult&) {});
+    mLoop.Run();
+    exchange->Cancel();
+    mLoop.After(std::chrono::seconds(5), [this] { mLoop.Stop(); });
+    mLoop.Run();
+    CHECK_TRUE(waiting->IsClosed());
+  }
+  CHECK_EQUAL(2, closed);
+}
