Run timers from a timer descriptor

Cause: an idle host used 6.6% of a core. strace showed 3,500 polls a second: libwebsockets rounds its poll timeout down to a millisecond and then polls without a pause until the timer is due. Ruled out: the work of the ticks themselves; 90% of the samples were in poll. Change: TimerQueue keeps the timers and one timerfd wakes the loop; the service tick runs every 5 ms only while requests are open.

--- a/packages/daemon/src/Carriage.cpp
+++ b/packages/daemon/src/Carriage.cpp
@@ -7,8 +7,11 @@
 
 namespace {
 
-// Resolution of deadlines and hedges.
-constexpr base::Duration kTick = std::chrono::milliseconds(5);
+// Resolution of deadlines and hedges while requests are open.
+constexpr base::Duration kBusyTick = std::chrono::milliseconds(5);
+
+// A host without requests wakes up this rarely.
+constexpr base::Duration kIdleTick = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -22,7 +25,14 @@
 
 void Carriage::Start()
 {
-  mShared.mLoop.Every(kTick, [this] { OnTick(); });
+  ScheduleTick();
+}
+
+void Carriage::ScheduleTick()
+{
+  mIsBusy = OpenRequests() > 0;
+  mTimer =
+    mShared.mLoop.After(mIsBusy ? kBusyTick : kIdleTick, [this] { OnTick(); });
 }
 
 void Carriage::OnTick()
@@ -34,6 +44,7 @@
   for (auto& it : mRetired) {
     it->OnTick(now);
   }
+  ScheduleTick();
 }
 
 bool Carriage::HasLiveHost(const base::DataCentreId& aCentre) const
@@ -138,6 +149,10 @@
     accepted.mForeignRegion = mGates.mForeignRegion(head.mClientAddress);
   }
   service->Accept(aExchange, std::move(accepted));
+  if (!mIsBusy) {
+    mShared.mLoop.Cancel(mTimer);
+    ScheduleTick();
+  }
 }
 
 std::vector<SlotMeasurement> Carriage::Measure() const
--- a/packages/daemon/src/Carriage.h
+++ b/packages/daemon/src/Carriage.h
@@ -44,6 +44,7 @@
                  const base::DataCentreId& aCentre) const;
   bool HasLiveHost(const base::DataCentreId& aCentre) const;
   void OnTick();
+  void ScheduleTick();
 
   const Shared& mShared;
   const ClusterNode& mCluster;
@@ -51,6 +52,8 @@
   std::map<base::ServiceId, std::unique_ptr<ServiceRuntime>> mServices;
   /** Services that are no longer in force and finish their requests. */
   std::vector<std::unique_ptr<ServiceRuntime>> mRetired;
+  http::Loop::TimerId mTimer;
+  bool mIsBusy = false;
 };
 
 } // namespace auburnmux::daemon
--- a/packages/http/src/Loop.cpp
+++ b/packages/http/src/Loop.cpp
@@ -1,10 +1,13 @@
 #include "http/src/Loop.h"
 
 #include "http/src/Internal.h"
+#include "http/src/TimerQueue.h"
 
+#include <algorithm>
 #include <cassert>
 #include <chrono>
 #include <libwebsockets.h>
+#include <sys/timerfd.h>
 #include <unistd.h>
 #include <unordered_map>
 
@@ -12,15 +15,6 @@
 
 namespace internal {
 
-struct Timer
-{
-  lws_sorted_usec_list_t mEntry{}; // must stay first: lws hands it back
-  Loop::Impl* mLoop = nullptr;
-  Loop::TimerId mId;
-  base::Duration mPeriod{};
-  Loop::Task mTask;
-};
-
 struct Watcher
 {
   Loop::Task mTask;
@@ -34,14 +28,17 @@
   lws_context* mContext = nullptr;
   lws_vhost* mWatchHost = nullptr;
   bool mIsStopped = false;
-  std::uint64_t mNextId = 1;
-  std::unordered_map<std::uint64_t, std::unique_ptr<internal::Timer>> mTimers;
+  std::uint64_t mNextWatch = 1;
   std::unordered_map<std::uint64_t, std::unique_ptr<internal::Watcher>>
     mWatchers;
-
-  void Schedule(internal::Timer& aTimer, base::Duration aDelay);
-  TimerId Start(base::Duration aDelay, base::Duration aPeriod, Task aTask);
-  void Fire(TimerId aTimer);
+  internal::TimerQueue mTimers;
+  // The timers of libwebsockets wake up a millisecond early and then poll
+  // without a pause; a timer descriptor wakes up on time.
+  int mTimerDescriptor = -1;
+  std::optional<base::TimePoint> mArmed;
+
+  void Arm();
+  void OnTimer(base::TimePoint aNow);
 };
 
 namespace {
@@ -49,11 +46,6 @@
 constexpr unsigned kMaxHeaderBytes = 16384;
 constexpr unsigned short kMaxHeaderBlocks = 8192;
 
-lws_usec_t ToUsec(base::Duration aDelay)
-{
-  return std::chrono::duration_cast<std::chrono::microseconds>(aDelay).count();
-}
-
 int OnWatchEvent(lws* aWsi, lws_callback_reasons aReason, void* /*aUser*/,
                  void* /*aIn*/, std::size_t /*aLength*/)
 {
@@ -73,48 +65,32 @@
   { nullptr, nullptr, 0, 0, 0, nullptr, 0 }
 };
 
-void OnTimer(lws_sorted_usec_list_t* aEntry)
-{
-  auto* timer = reinterpret_cast<internal::Timer*>(aEntry);
-  timer->mLoop->Fire(timer->mId);
-}
-
 } // namespace
 
-void Loop::Impl::Schedule(internal::Timer& aTimer, base::Duration aDelay)
+void Loop::Impl::Arm()
 {
-  // libwebsockets takes 0 as "set no timer".
-  const lws_usec_t delay = ToUsec(aDelay) > 0 ? ToUsec(aDelay) : 1;
-  lws_sul_schedule(mContext, 0, &aTimer.mEntry, OnTimer, delay);
-}
-
-Loop::TimerId Loop::Impl::Start(base::Duration aDelay, base::Duration aPeriod,
-                                Task aTask)
-{
-  auto timer = std::make_unique<internal::Timer>();
-  timer->mLoop = this;
-  timer->mId = TimerId(mNextId++);
-  timer->mPeriod = aPeriod;
-  timer->mTask = std::move(aTask);
-  Schedule(*timer, aDelay);
-  const TimerId id = timer->mId;
-  mTimers.emplace(id.Count(), std::move(timer));
-  return id;
+  const auto due = mTimers.NextDue();
+  if (!due || due == mArmed) {
+    return;
+  }
+  mArmed = due;
+  // A time of zero would disarm the descriptor.
+  const auto n =
+    std::max<base::Duration::rep>(due->time_since_epoch().count(), 1);
+  constexpr base::Duration::rep kNanosecondsPerSecond = 1'000'000'000;
+  itimerspec spec{};
+  spec.it_value.tv_sec = n / kNanosecondsPerSecond;
+  spec.it_value.tv_nsec = n % kNanosecondsPerSecond;
+  timerfd_settime(mTimerDescriptor, TFD_TIMER_ABSTIME, &spec, nullptr);
 }
 
-void Loop::Impl::Fire(TimerId aTimer)
+void Loop::Impl::OnTimer(base::TimePoint aNow)
 {
-  const auto it = mTimers.find(aTimer.Count());
-  if (it == mTimers.end()) {
-    return;
-  }
-  const Task task = it->second->mTask;
-  if (it->second->mPeriod > base::Duration::zero()) {
-    Schedule(*it->second, it->second->mPeriod);
-  } else {
-    mTimers.erase(it);
-  }
-  task();
+  std::uint64_t n = 0;
+  (void)!read(mTimerDescriptor, &n, sizeof n);
+  mArmed.reset();
+  mTimers.RunDue(aNow);
+  Arm();
 }
 
 Loop::Loop()
@@ -141,17 +117,20 @@
   watch.protocols = kWatchProtocols;
   mImpl->mWatchHost = lws_create_vhost(mImpl->mContext, &watch);
   assert(mImpl->mWatchHost != nullptr);
+
+  mImpl->mTimerDescriptor =
+    timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  assert(mImpl->mTimerDescriptor >= 0);
+  Watch(mImpl->mTimerDescriptor, [this] { mImpl->OnTimer(Now()); });
 }
 
 Loop::~Loop()
 {
-  for (auto& [id, timer] : mImpl->mTimers) {
-    lws_sul_cancel(&timer->mEntry);
-  }
   for (auto& [id, watcher] : mImpl->mWatchers) {
     watcher->mTask = nullptr;
   }
   lws_context_destroy(mImpl->mContext);
+  close(mImpl->mTimerDescriptor);
 }
 
 base::TimePoint Loop::Now() const
@@ -168,22 +147,24 @@
 
 Loop::TimerId Loop::After(base::Duration aDelay, Task aTask)
 {
-  return mImpl->Start(aDelay, base::Duration::zero(), std::move(aTask));
+  const TimerId id = mImpl->mTimers.Add(Now() + aDelay, base::Duration::zero(),
+                                        std::move(aTask));
+  mImpl->Arm();
+  return id;
 }
 
 Loop::TimerId Loop::Every(base::Duration aPeriod, Task aTask)
 {
   assert(aPeriod > base::Duration::zero());
-  return mImpl->Start(aPeriod, aPeriod, std::move(aTask));
+  const TimerId id =
+    mImpl->mTimers.Add(Now() + aPeriod, aPeriod, std::move(aTask));
+  mImpl->Arm();
+  return id;
 }
 
 void Loop::Cancel(TimerId aTimer)
 {
-  const auto it = mImpl->mTimers.find(aTimer.Count());
-  if (it != mImpl->mTimers.end()) {
-    lws_sul_cancel(&it->second->mEntry);
-    mImpl->mTimers.erase(it);
-  }
+  mImpl->mTimers.Remove(aTimer);
 }
 
 Loop::WatchId Loop::Watch(int aDescriptor, Task aTask)
@@ -197,7 +178,7 @@
     mImpl->mWatchHost, LWS_ADOPT_RAW_FILE_DESC, fd, "watch", nullptr);
   assert(watcher->mWsi != nullptr);
   lws_set_opaque_user_data(watcher->mWsi, watcher.get());
-  const WatchId id(mImpl->mNextId++);
+  const WatchId id(mImpl->mNextWatch++);
   mImpl->mWatchers.emplace(id.Count(), std::move(watcher));
   return id;
 }
