Ask the present holder of a key, not only the first one seen

A claim that met a key while the chain was being read asked the holder of an older record; that holder's answer said nothing about the present one, and the claim was answered "not known" though the key was free to be released. Ruled out: a fault of safety; no key was dispatched twice. Change: a waiting claim keeps whom it asked, asks again when the holder has changed, and takes only that holder's answer. Conclusion: answers to queries are matched to the holder, as records are.

--- a/packages/idempotency/src/ClaimLog.cpp
+++ b/packages/idempotency/src/ClaimLog.cpp
@@ -68,15 +68,12 @@
 {
   ClaimLogActions out;
   NoteTime(aNow);
-  const auto view = mIndex.Find(aAnswer.mKey);
-  if (view && view->mHolder == aAnswer.mHolder) {
-    const bool isResolved = aAnswer.mState == HolderState::NeverDispatched ||
-                            aAnswer.mState == HolderState::Ran;
-    for (WaitingClaim& it : mClaims.Items()) {
-      if (it.mCall.mKey == aAnswer.mKey) {
-        it.mQuery =
-          isResolved ? QueryProgress::Resolving : QueryProgress::NotKnown;
-      }
+  const bool isResolved = aAnswer.mState == HolderState::NeverDispatched ||
+                          aAnswer.mState == HolderState::Ran;
+  for (WaitingClaim& it : mClaims.Items()) {
+    if (it.mCall.mKey == aAnswer.mKey && it.mAskedHolder == aAnswer.mHolder) {
+      it.mQuery =
+        isResolved ? QueryProgress::Resolving : QueryProgress::NotKnown;
     }
   }
   if (aAnswer.mState == HolderState::NeverDispatched) {
@@ -209,8 +206,10 @@
   if (aView.mHolder == aClaim.mCall.mHolder) {
     return ClaimVerdict::Granted;
   }
-  if (aClaim.mQuery == QueryProgress::NotAsked) {
+  if (aClaim.mQuery == QueryProgress::NotAsked ||
+      !(aClaim.mAskedHolder == aView.mHolder)) {
     aClaim.mQuery = QueryProgress::Asked;
+    aClaim.mAskedHolder = aView.mHolder;
     aClaim.mAsked = aNow.mTime;
     aOut.emplace_back(SendClaimQuery{ aView.mHolder, aClaim.mCall.mKey });
   }
--- a/packages/idempotency/src/ClaimQueue.h
+++ b/packages/idempotency/src/ClaimQueue.h
@@ -30,6 +30,8 @@
   /** The operation of the chain that had started last on arrival. */
   OperationNumber mArrival;
   QueryProgress mQuery = QueryProgress::NotAsked;
+  /** Whom the query went to, and when; another holder is asked anew. */
+  ClaimHolder mAskedHolder{};
   base::TimePoint mAsked{};
   /** The key is free as far as is known: the claim goes into a batch. */
   bool mIsAppendable = false;
