--- a/packages/idempotency/src/ClaimLog.cpp
+++ b/packages/idempotency/src/ClaimLog.cpp
@@ -1,9 +1,9 @@
 #include "idempotency/src/ClaimLog.h"
 
 #include <algorithm>
-#include <unordered_set>
 #include <utility>
 
+#include "idempotency/src/BatchBuilder.h"
 #include "idempotency/src/SegmentCodec.h"
 
 namespace auburnmux::idempotency {
@@ -12,6 +12,11 @@
 /** Time between two deletes while old segments remain. */
 constexpr base::Duration kDeleteInterval = std::chrono::seconds(1);
 
+ClaimRecord RecordOf(const ClaimCall& aCall)
+{
+  return ClaimedRecord{ aCall.mKey, aCall.mHolder, aCall.mRequestHash };
+}
+
 } // namespace
 
 ClaimLog::ClaimLog(ClaimLogSettings aSettings, std::uint64_t aSeed)
@@ -269,29 +274,18 @@
 
 std::vector<ClaimRecord> ClaimLog::NextBatch() const
 {
-  std::vector<ClaimRecord> batch;
-  std::unordered_set<IdempotencyKey> keys;
-  std::size_t bytes = 0;
-  const auto add = [&batch, &keys, &bytes](ClaimRecord aRecord) {
-    const std::size_t size = EncodedSize(aRecord);
-    if (batch.size() < kMaxBatchRecords && bytes + size <= kMaxBatchBytes &&
-        keys.insert(KeyOf(aRecord)).second) {
-      bytes += size;
-      batch.push_back(std::move(aRecord));
-    }
-  };
+  BatchBuilder batch;
   for (const WaitingRecord& it : mRecords.Items()) {
     if (it.mIsAppendable) {
-      add(it.mRecord);
+      batch.Add(it.mRecord);
     }
   }
   for (const WaitingClaim& it : mClaims.Items()) {
     if (it.mIsAppendable) {
-      add(ClaimedRecord{ it.mCall.mKey, it.mCall.mHolder,
-                         it.mCall.mRequestHash });
+      batch.Add(RecordOf(it.mCall));
     }
   }
-  return batch;
+  return batch.Take();
 }
 
 bool ClaimLog::NeedsRefresh() const
--- a/packages/idempotency/src/SegmentChain.cpp
+++ b/packages/idempotency/src/SegmentChain.cpp
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 #include <cassert>
-#include <set>
 #include <utility>
 
 #include "idempotency/src/SegmentCodec.h"
+#include "idempotency/src/SegmentRun.h"
 
 namespace auburnmux::idempotency {
 
@@ -30,21 +30,11 @@
 {
   assert(IsIdle() && !aRecords.empty());
   StartOperation(Phase::Writing);
-  StagedWrite staged;
-  staged.mCall = mCalls.Next();
-  staged.mBatch = { BatchId(mRandom.Next()), std::move(aRecords) };
-  const std::string open = EncodeAppend(staged.mBatch, false);
-  // A creation never seals, so that a segment below the last one that isn't
-  // sealed is known to be the work of a delayed creation.
-  staged.mIsSealing =
-    mTail.mVersion != kAbsent &&
-    base::ByteCount(mTail.mBytes.size() + open.size()) >= mSealAt;
-  staged.mBytes =
-    mTail.mBytes +
-    (staged.mIsSealing ? EncodeAppend(staged.mBatch, true) : open);
-  aOut.emplace_back(
-    WriteSegment{ staged.mCall, mTail.mNumber, mTail.mVersion, staged.mBytes });
-  mStaged = std::move(staged);
+  const BatchId id(mRandom.Next());
+  mStaged = mTail.Stage({ id, std::move(aRecords) }, mSealAt);
+  mStaged->mCall = mCalls.Next();
+  aOut.emplace_back(WriteSegment{ mStaged->mCall, mTail.Number(),
+                                  mTail.Version(), mStaged->mBytes });
   ++mCounts.mWrites;
 }
 
@@ -74,7 +64,7 @@
   mListDelay.Reset();
   const bool isLast =
     std::all_of(aResult.mSegments.begin(), aResult.mSegments.end(),
-                [this](SegmentNumber aIt) { return aIt <= mTail.mNumber; });
+                [this](SegmentNumber aIt) { return aIt <= mTail.Number(); });
   if (mPhase != Phase::Verifying || !isLast) {
     BeginLoad(aResult);
     ContinueReading(aNow, aOut);
@@ -108,7 +98,7 @@
   switch (aResult.mStatus) {
     case CallStatus::Done:
       mStaged->mVersion = aResult.mVersion;
-      mTail.mVersion == kAbsent ? Verify(aOut) : Commit();
+      !mTail.Exists() ? Verify(aOut) : Commit();
       return;
     case CallStatus::NotFound:
       Reload(aOut);
@@ -153,8 +143,7 @@
 bool SegmentChain::DeleteOldest(ClaimLogActions& aOut)
 {
   if (!IsIdle() || mDeleteCall != CallNumber(0) || mSealed.empty() ||
-      mTail.mVersion == kAbsent ||
-      mSealed.front().mNewestKey >= mRememberedSince) {
+      !mTail.Exists() || mSealed.front().mNewestKey >= mRememberedSince) {
     return false;
   }
   mDeleteCall = mCalls.Next();
@@ -208,29 +197,20 @@
   if (mStaged) {
     mStaged->mVersion = kAbsent;
   }
-  mTail = Tail{};
-  if (aResult.mSegments.empty()) {
+  const auto run = LastRun(aResult.mSegments);
+  mTail = SegmentTail(run ? run->mFirst : SegmentNumber(0));
+  if (run) {
+    mHighestListed = run->mLast;
+    mReader.Begin(run->mFirst, run->mLast);
+  } else {
     FinishOperation();
-    return;
-  }
-  const std::set<SegmentNumber> numbers(aResult.mSegments.begin(),
-                                        aResult.mSegments.end());
-  // Only the run that ends at the highest number is the chain: a segment below
-  // a gap was created by a write delayed past its deletion.
-  SegmentNumber first = *numbers.rbegin();
-  mHighestListed = first;
-  while (first > SegmentNumber(0) &&
-         numbers.count(first - SegmentNumber(1)) > 0) {
-    first -= SegmentNumber(1);
   }
-  mTail.mNumber = first;
-  mReader.Begin(first, mHighestListed);
 }
 
 void SegmentChain::ReadFromTail(base::TimePoint aNow, ClaimLogActions& aOut)
 {
-  mHighestListed = mTail.mNumber;
-  mReader.Begin(mTail.mNumber, mTail.mNumber);
+  mHighestListed = mTail.Number();
+  mReader.Begin(mTail.Number(), mTail.Number());
   mReader.Send(aNow, mCalls, aOut);
 }
 
@@ -252,7 +232,7 @@
   const bool isLast = aValue.mNumber >= mHighestListed;
   if (aValue.mVersion == kAbsent) {
     const bool isBeyondList = aValue.mNumber > mHighestListed;
-    const bool isEnd = mTail.mVersion == kAbsent && (mIsLoaded || isBeyondList);
+    const bool isEnd = !mTail.Exists() && (mIsLoaded || isBeyondList);
     isEnd ? FinishOperation() : Reload(aOut);
     return;
   }
@@ -262,7 +242,7 @@
     ++mCounts.mUnreadableSegments;
     NoteAnswer(false, aNow);
     mReader.Repeat(aValue.mNumber, aNow, mRandom);
-  } else if (!ExtendsTail(aValue)) {
+  } else if (!mTail.IsPrefixOf(aValue.mBytes)) {
     Reload(aOut);
   } else if (segment->mIsSealed) {
     TakeOver(std::move(aValue), *segment);
@@ -273,7 +253,7 @@
   } else if (!isLast) {
     SkipDelayedCreation();
   } else {
-    const bool isNew = mTail.mVersion == kAbsent;
+    const bool isNew = !mTail.Exists();
     TakeOver(std::move(aValue), *segment);
     if (isNew) {
       // Nothing is answered from its records before they are verified.
@@ -294,31 +274,24 @@
   mSealed.clear();
 }
 
-bool SegmentChain::ExtendsTail(const SegmentValue& aValue) const
-{
-  return aValue.mBytes.compare(0, mTail.mBytes.size(), mTail.mBytes) == 0;
-}
-
 void SegmentChain::TakeOver(SegmentValue aValue, const ClaimSegment& aSegment)
 {
-  for (std::size_t it = mTail.mBatches; it < aSegment.mBatches.size(); ++it) {
+  const std::size_t count = aSegment.mBatches.size();
+  for (std::size_t it = mTail.BatchCount(); it < count; ++it) {
     const ClaimBatch& batch = aSegment.mBatches[it];
     if (mStaged && batch.mId == mStaged->mBatch.mId) {
       ++mCounts.mOwnBatchesFound;
     }
     ApplyBatch(batch);
   }
-  mTail.mVersion = aValue.mVersion;
-  mTail.mBytes = std::move(aValue.mBytes);
-  mTail.mBatches = aSegment.mBatches.size();
+  mTail.Set(aValue.mVersion, std::move(aValue.mBytes), count);
 }
 
 void SegmentChain::Commit()
 {
   ApplyBatch(mStaged->mBatch);
-  mTail.mVersion = mStaged->mVersion;
-  mTail.mBytes = std::move(mStaged->mBytes);
-  ++mTail.mBatches;
+  mTail.Set(mStaged->mVersion, std::move(mStaged->mBytes),
+            mTail.BatchCount() + 1);
   if (mStaged->mIsSealing) {
     AdvanceTail();
   }
@@ -328,17 +301,15 @@
 void SegmentChain::ApplyBatch(const ClaimBatch& aBatch)
 {
   for (const ClaimRecord& it : aBatch.mRecords) {
-    mTail.mNewestKey = std::max(mTail.mNewestKey, KeyOf(it).Time());
+    mTail.NoteKey(KeyOf(it).Time());
     mIndex.Apply(it, mRememberedSince);
   }
 }
 
 void SegmentChain::AdvanceTail()
 {
-  mSealed.push_back({ mTail.mNumber, mTail.mNewestKey });
-  const SegmentNumber next = mTail.mNumber + SegmentNumber(1);
-  mTail = Tail{};
-  mTail.mNumber = next;
+  mSealed.push_back({ mTail.Number(), mTail.NewestKey() });
+  mTail = SegmentTail(mTail.Number() + SegmentNumber(1));
 }
 
 void SegmentChain::NoteAnswer(bool aIsAnswered, base::TimePoint aNow)
--- a/packages/idempotency/src/SegmentChain.h
+++ b/packages/idempotency/src/SegmentChain.h
@@ -10,6 +10,7 @@
 #include "idempotency/src/ClaimIndex.h"
 #include "idempotency/src/ClaimLogAction.h"
 #include "idempotency/src/ClaimRecord.h"
+#include "idempotency/src/SegmentTail.h"
 
 namespace auburnmux::idempotency {
 
@@ -90,31 +91,12 @@
     Verifying,
   };
 
-  /** The segment that is appended to; kAbsent until it is created. */
-  struct Tail
-  {
-    SegmentNumber mNumber;
-    base::ObjectVersion mVersion;
-    std::string mBytes;
-    std::size_t mBatches = 0;
-    base::WallTime mNewestKey{};
-  };
-
   struct SealedSegment
   {
     SegmentNumber mNumber;
     base::WallTime mNewestKey;
   };
 
-  struct StagedWrite
-  {
-    CallNumber mCall;
-    ClaimBatch mBatch;
-    std::string mBytes;
-    bool mIsSealing = false;
-    base::ObjectVersion mVersion;
-  };
-
   void On(const ListResult& aResult, base::TimePoint aNow,
           ClaimLogActions& aOut);
   void On(ReadResult aResult, base::TimePoint aNow, ClaimLogActions& aOut);
@@ -133,7 +115,6 @@
   void Consume(SegmentValue aValue, base::TimePoint aNow,
                ClaimLogActions& aOut);
   void SkipDelayedCreation();
-  bool ExtendsTail(const SegmentValue& aValue) const;
   void TakeOver(SegmentValue aValue, const ClaimSegment& aSegment);
   void Commit();
   void ApplyBatch(const ClaimBatch& aBatch);
@@ -150,7 +131,7 @@
   bool mIsLoaded = false;
   OperationNumber mStarted;
   OperationNumber mProven;
-  Tail mTail;
+  SegmentTail mTail;
   std::deque<SealedSegment> mSealed;
   std::optional<StagedWrite> mStaged;
   CallNumber mListCall;
