Connect after the read that asks for it

Change: Client::Send() connects in the next turn of the loop. Http.RequestFromAHandlerLeavesTheBodyIntact failed before and passes now. Conclusion: no call of the client may run inside a server's read.

--- a/packages/http/src/Client.cpp
+++ b/packages/http/src/Client.cpp
@@ -183,7 +183,15 @@
   auto connection = std::make_shared<ClientConnection>(
     impl.mLoop, aRequest, std::move(aObserver), std::move(onRelease));
   connection->KeepAlive(connection);
-  connection->Attach(impl.Connect(aRequest, vhost, connection.get()));
+  // libwebsockets writes the request head into the buffer from which it may
+  // still be delivering the body of a server's request, so the connection
+  // waits until no read is under way.
+  impl.mLoop.After(
+    base::Duration::zero(), [&impl, vhost, connection, aRequest] {
+      if (connection->IsWanted()) {
+        connection->Attach(impl.Connect(aRequest, vhost, connection.get()));
+      }
+    });
   return connection;
 }
 
--- a/packages/http/src/ClientConnection.cpp
+++ b/packages/http/src/ClientConnection.cpp
@@ -114,6 +114,9 @@
   mObserver.reset();
   StopConnectTimer();
   CloseConnection();
+  if (mIsStarting) {
+    ReleaseConnection(Release::Closed);
+  }
 }
 
 void ClientConnection::CloseConnection()
--- a/packages/http/src/ClientConnection.h
+++ b/packages/http/src/ClientConnection.h
@@ -36,6 +36,8 @@
   void PauseReading(bool aIsPaused) override;
   void Cancel() override;
 
+  /** \returns whether it was neither cancelled nor failed. */
+  bool IsWanted() const { return mObserver != nullptr; }
   /** Binds the connection that libwebsockets made; may be null. */
   void Attach(lws* aWsi);
   /** Keeps the object alive until its connection is released. */
--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -216,6 +216,62 @@
   }
 }
 
+// Guards against a body that loses or repeats parts when reading is paused.
+TEST(Http, PausedBodiesOnOneConnectionStaySeparate)
+{
+  const base::PortNumber port(19205);
+  http::Server server(
+    mLoop, { kAddress, port },
+    [this](const std::shared_ptr<ServerExchange>& aExchange) {
+      aExchange->PauseReading(true);
+      aExchange->Observe(std::make_unique<EchoObserver>(aExchange));
+      if (aExchange->Head().mPath == "/at-once") {
+        aExchange->PauseReading(false);
+      } else {
+        mLoop.After(std::chrono::milliseconds(5),
+                    [aExchange] { aExchange->PauseReading(false); });
+      }
+    });
+  for (std::size_t i = 1; i <= 12; ++i) {
+    for (const char* target : { "/at-once", "/later" }) {
+      const std::string body(i * 3700, static_cast<char>('a' + i));
+      const FetchResult result =
+        Fetch({ { kAddress, port }, "PUT", target }, body);
+      CHECK_TRUE(result.IsOk());
+      CHECK_EQUAL(body.size(), result.mBody.size());
+      CHECK_TRUE(result.mBody == body);
+    }
+  }
+}
+
+// Guards against a body that is overwritten by the head of a request which the
+// handler sends while libwebsockets still holds the body.
+TEST(Http, RequestFromAHandlerLeavesTheBodyIntact)
+{
+  const base::PortNumber port(19206);
+  const base::PortNumber nextPort(19207);
+  const auto next = Echo(nextPort);
+  http::Server server(
+    mLoop, { kAddress, port },
+    [&](const std::shared_ptr<ServerExchange>& aExchange) {
+      aExchange->PauseReading(true);
+      http::Fetch(mLoop, mClient, { { kAddress, nextPort }, "PUT", "/next" },
+                  "next", std::chrono::seconds(5), [](const FetchResult&) {});
+      aExchange->PauseReading(false);
+      aExchange->Observe(std::make_unique<EchoObserver>(aExchange));
+    });
+  for (std::size_t i = 1; i <= 12; ++i) {
+    const std::string body(i * 300, static_cast<char>('a' + i));
+    const std::string head = "PUT /x HTTP/1.1\r\nhost: h\r\nconnection: "
+                             "close\r\ncontent-length: " +
+                             std::to_string(body.size()) + "\r\n\r\n";
+    CHECK_TRUE(Fetch({ { kAddress, nextPort } }).IsOk()); // an idle connection
+    const std::string response = Exchange(port, head + body);
+    CHECK_TRUE(response.size() > body.size());
+    CHECK_TRUE(response.substr(response.size() - body.size()) == body);
+  }
+}
+
 TEST(Http, ChunkedResponseArrivesWhole)
 {
   const base::PortNumber port(19204);
