Check the example host settings against their topology

Cause: examples that don't load would be found only when a host starts. Change: a test parses all 14 host files and compares region and data centre.

--- a/apps/auburnmux/test/ToolTest.cpp
+++ b/apps/auburnmux/test/ToolTest.cpp
@@ -5,6 +5,8 @@
 
 #include "standins/src/Platform.h"
 
+#include <filesystem>
+#include <fstream>
 #include <sstream>
 
 // Last, because CppUTest defines a macro named new.
@@ -244,6 +246,29 @@
 
 TEST_GROUP(FileCollector){};
 
+// Guards against example host files that don't fit their topology.
+TEST(FileCollector, ExampleHostsAreValid)
+{
+  std::size_t n = 0;
+  for (const std::string directory : { kAgency, kBelhadj }) {
+    const CollectedFiles files = CollectFiles({ directory });
+    const config::TopologyFile& topology = files.mSnapshot.mTopology;
+    for (const auto& it :
+         std::filesystem::directory_iterator(directory + "/hosts")) {
+      std::ifstream in(it.path());
+      const std::string text(std::istreambuf_iterator<char>(in), {});
+      config::ParseReport report;
+      const auto host =
+        config::ParseHostSettings(text, it.path().string(), report);
+      STRCMP_EQUAL("", report.mErrors.Report().c_str());
+      const config::Region* region = topology.RegionOf(host.mDataCentre);
+      CHECK_TRUE(region != nullptr && region->mName == host.mRegion);
+      ++n;
+    }
+  }
+  LONGS_EQUAL(14, n);
+}
+
 // Guards against findings that are reported one run at a time, or that stop
 // at the first unreadable file.
 TEST(FileCollector, ReportsProblemsOfTheWholeTree)
