--- a/packages/idempotency/test/ClaimLogTest.cpp
+++ b/packages/idempotency/test/ClaimLogTest.cpp
@@ -156,12 +156,12 @@
 // back, and against keys kept long because they come from the future.
 TEST(ClaimLog, KeysOutsideTheWindowAreNeverNew)
 {
-  const std::int64_t window = 2 * 3600 * 1000;
-  mLog.Tick(window + 1);
-  CHECK_TRUE(mLog.Claim(mKey, 1, window + 1) == ClaimVerdict::Expired);
+  constexpr std::int64_t kWindow = 7200000;
+  mLog.Tick(kWindow + 1);
+  CHECK_TRUE(mLog.Claim(mKey, 1, kWindow + 1) == ClaimVerdict::Expired);
   const auto future = MakeKey(kStartWall + std::chrono::hours(3), 2);
-  CHECK_TRUE(mLog.Claim(future, 2, window + 1) == ClaimVerdict::Unavailable);
-  const std::int64_t forgotten = window + 5 * 60 * 1000 + 1;
+  CHECK_TRUE(mLog.Claim(future, 2, kWindow + 1) == ClaimVerdict::Unavailable);
+  const std::int64_t forgotten = kWindow + 300001;
   mLog.Tick(forgotten);
   CHECK_TRUE(mLog.Claim(mKey, 3, 60000) == ClaimVerdict::Expired);
 }
