--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-  build-essential ccache clang-format clang-tidy cmake cppzmq-dev git
+  build-essential ccache clang-format clang-tidy cmake cppzmq-dev curl git jq
   libbenchmark-dev libboost1.81-dev libcpputest-dev libcxxopts-dev
   libprotobuf-dev librapidcheck-dev libspdlog-dev libwebsockets-dev
   libxxhash-dev libzmq3-dev ninja-build nlohmann-json3-dev pkg-config
