Fix partitions and retention of keys, and check who speaks in a heartbeat

Hosts with different claim_partitions or key_retention_s would put one key into two chains, or forget it while others accept it. A heartbeat could speak for another host. A query parameter with an encoded '&' was split, a path with an encoded '?' gained a query, and Abort() in a handler left the connection open. Change: both are constants and no longer settings; the sender in a heartbeat must be the envelope's; paths and parameters are encoded apart; the look-up lifetime of the topology is used by look-ups and by the planned stop; hosts beyond an upstream's slots get no share. config uses the work types of base. Ruled out: keeping the settings with a check between hosts, because a host that joins later would still differ for a while.

--- a/packages/config/src/HostSettings.cpp
+++ b/packages/config/src/HostSettings.cpp
@@ -119,8 +119,6 @@
   settings.mLogLevel = static_cast<LogLevel>(
     reader.Choice("log_level", { "debug", "info", "warning" }, 1));
   settings.mLimits = ReadLimits(reader, aSource);
-  settings.mClaimPartitions = reader.Quantity<PartitionCount>(
-    "claim_partitions", { 1, 256, "partitions", 16 });
   reader.Finish();
   return settings;
 }
--- a/packages/config/src/HostSettings.h
+++ b/packages/config/src/HostSettings.h
@@ -42,9 +42,6 @@
   base::ByteCount mQueue{ 33'554'432 };
 };
 
-/** Number of partitions of idempotency keys; equal on all hosts. */
-using PartitionCount = base::Quantity<struct PartitionCountTag, std::uint32_t>;
-
 /** Settings of one entry host; docs/settings.md lists keys and bounds. */
 struct HostSettings
 {
@@ -60,7 +57,6 @@
   std::chrono::seconds mDrainLimit{ 30 };
   LogLevel mLogLevel = LogLevel::Info;
   HostLimits mLimits;
-  PartitionCount mClaimPartitions{ 16 };
 };
 
 /**
--- a/packages/config/src/Route.h
+++ b/packages/config/src/Route.h
@@ -23,21 +23,12 @@
 /** \returns the method as it stands in a request, e.g. "GET". */
 const char* MethodName(HttpMethod aMethod);
 
-/** Whether work may run more than once. */
-enum class WorkKind : std::uint8_t
-{
-  Idempotent,
-  Once
-};
-
-/** Short work never waits behind long work. */
-enum class WorkClass : std::uint8_t
-{
-  Short,
-  Long
-};
+using base::WorkClass;
+using base::WorkKind;
 
+/** \returns the name in a service file: "idempotent" or "once". */
 const char* WorkKindName(WorkKind aKind);
+/** \returns the name in a service file: "short" or "long". */
 const char* WorkClassName(WorkClass aClass);
 
 /** How a service treats the requests below a path prefix. */
@@ -47,7 +38,7 @@
   std::string mPath;
   /** In the order of HttpMethod, without doubles. */
   std::vector<HttpMethod> mMethods;
-  WorkKind mWork = WorkKind::Once;
+  WorkKind mWork = WorkKind::NonIdempotent;
   WorkClass mClass = WorkClass::Short;
   /** Used when the caller sends no Request-Deadline-Ms. */
   std::chrono::milliseconds mDeadline{ 2'000 };
--- a/packages/config/src/SnapshotEncoding.cpp
+++ b/packages/config/src/SnapshotEncoding.cpp
@@ -127,8 +127,7 @@
            { "delays", ToJson(aTopology.mDelays) },
            { "links", ToList(aTopology.mLinks) },
            { "sites", ToList(aTopology.mSites) },
-           { "lookup_lifetime_ms", aTopology.mLookupLifetime.count() },
-           { "key_retention_s", aTopology.mKeyRetention.count() } };
+           { "lookup_lifetime_ms", aTopology.mLookupLifetime.count() } };
 }
 
 std::string Dump(const nlohmann::json& aJson)
--- a/packages/config/src/TopologyFile.h
+++ b/packages/config/src/TopologyFile.h
@@ -89,8 +89,6 @@
   std::vector<Site> mSites;
   /** How long a caller may use the answer to a look-up. */
   std::chrono::milliseconds mLookupLifetime{ 5'000 };
-  /** An idempotency key older than this is answered "not known". */
-  std::chrono::seconds mKeyRetention{ 7'200 };
   base::Place mPlace;
 
   const DataCentre* FindDataCentre(const base::DataCentreId& aName) const;
--- a/packages/config/src/TopologyReader.cpp
+++ b/packages/config/src/TopologyReader.cpp
@@ -137,9 +137,7 @@
     topology.mSites.push_back(ReadSite(it, aSource));
   }
   topology.mLookupLifetime = reader.Time<std::chrono::milliseconds>(
-    "lookup_lifetime_ms", { 500, 600'000, "ms", 5'000 });
-  topology.mKeyRetention = reader.Time<std::chrono::seconds>(
-    "key_retention_s", { 60, 604'800, "s", 7'200 });
+    "lookup_lifetime_ms", { 1'000, 600'000, "ms", 5'000 });
   reader.Finish();
   return topology;
 }
--- a/packages/daemon/src/AdminPages.cpp
+++ b/packages/daemon/src/AdminPages.cpp
@@ -213,8 +213,7 @@
     route = { { "refused", refusal->mStatus }, { "reason", refusal->mReason } };
   } else {
     const auto& it = std::get<RequestPlan>(plan);
-    route = { { "class",
-                it.mClass == base::WorkClass::Short ? "short" : "long" },
+    route = { { "class", config::WorkClassName(it.mClass) },
               { "work", it.mKind == base::WorkKind::Idempotent ? "idempotent"
                                                                : "once" },
               { "deadline_ms", Milliseconds(it.mDeadline - now) } };
--- a/packages/daemon/src/ClaimService.cpp
+++ b/packages/daemon/src/ClaimService.cpp
@@ -19,6 +19,11 @@
 // owns, is dropped with its memory.
 constexpr base::Duration kUnusedLog = std::chrono::seconds(60);
 
+// Bounds for each partition. A host that holds all 16 partitions alone needs
+// about 280 MB for them; at 7 hosts it is about 40 MB each.
+constexpr std::size_t kMaxKeys = 100'000;
+constexpr base::ByteCount kBodyBudget{ 2'000'000 };
+
 idempotency::ClaimClientSettings ClientSettings(
   const idempotency::Retention& aRetention)
 {
@@ -130,15 +135,6 @@
   mShared.mLoop.Every(kTick, [this] { OnTick(); });
 }
 
-void ClaimService::SetRetention(std::chrono::milliseconds aWindow)
-{
-  if (mRetention.mWindow != aWindow) {
-    base::LogInfo(base::LogLine("claim_retention_ignored")
-                    .With("reason", "it takes effect with a restart")
-                    .With("window_ms", aWindow.count()));
-  }
-}
-
 idempotency::Now ClaimService::Now() const
 {
   return { mShared.mLoop.Now(), http::Loop::WallNow() };
@@ -146,9 +142,7 @@
 
 PartitionNumber ClaimService::PartitionOf(const IdempotencyKey& aKey) const
 {
-  return idempotency::PartitionOf(
-    aKey,
-    idempotency::PartitionCount(mShared.mSettings.mClaimPartitions.Count()));
+  return idempotency::PartitionOf(aKey);
 }
 
 base::HostId ClaimService::OwnerOf(PartitionNumber aPartition) const
@@ -180,6 +174,8 @@
   if (!log.mLog) {
     idempotency::ClaimLogSettings settings;
     settings.mRetention = mRetention;
+    settings.mMaxKeys = kMaxKeys;
+    settings.mBodyBudget = kBodyBudget;
     log.mLog =
       std::make_unique<idempotency::ClaimLog>(settings, mShared.mRandom.Next());
   }
--- a/packages/daemon/src/ClaimService.h
+++ b/packages/daemon/src/ClaimService.h
@@ -26,7 +26,6 @@
                const ClusterNode& aCluster, ClaimStore& aStore);
 
   void Start();
-  void SetRetention(std::chrono::milliseconds aWindow);
   /** Takes a message about claims. */
   void OnMessage(const protocol::Envelope& aEnvelope);
 
--- a/packages/daemon/src/ClusterNode.cpp
+++ b/packages/daemon/src/ClusterNode.cpp
@@ -36,6 +36,14 @@
   return "unknown";
 }
 
+/** \returns whether the beat speaks for the host that sent the message. */
+bool IsFrom(const membership::Beat& aBeat, const protocol::Envelope& aEnvelope)
+{
+  const membership::HostIdentity& host = aBeat.mSender.mHost;
+  return host.mId.Text() == aEnvelope.sender() &&
+         host.mIncarnation.Count() == aEnvelope.sender_incarnation();
+}
+
 http::Endpoint ToEndpoint(const membership::PeerAddress& aAddress)
 {
   return { aAddress.mAddress, aAddress.mPort };
@@ -66,6 +74,15 @@
       line.With("confirmed_by", it);
     }
     base::LogInfo(line);
+    const bool isReplaced =
+      aAction.mHost.mId == mNode.mShared.mSettings.mHost &&
+      aAction.mState == membership::HostState::Dead;
+    if (isReplaced) {
+      base::LogWarning(
+        base::LogLine("replaced")
+          .With("reason", "a newer process uses this host's id"));
+      mNode.mShared.mLoop.Stop();
+    }
     mNode.mShared.mMetrics.Count("auburnmux_host_changes_total",
                                  { { "state", StateText(aAction.mState) } });
   }
@@ -99,11 +116,13 @@
 {
   const base::TimePoint now = mShared.mLoop.Now();
   if (aEnvelope.has_heartbeat()) {
-    if (const auto beat = FromWire(aEnvelope.heartbeat())) {
+    const auto beat = FromWire(aEnvelope.heartbeat());
+    if (beat && IsFrom(*beat, aEnvelope)) {
       Execute(mMembership.OnHeartbeat(now, *beat));
     }
   } else if (aEnvelope.has_heartbeat_ack()) {
-    if (const auto beat = FromWire(aEnvelope.heartbeat_ack())) {
+    const auto beat = FromWire(aEnvelope.heartbeat_ack());
+    if (beat && IsFrom(*beat, aEnvelope)) {
       Execute(mMembership.OnHeartbeatAck(now, *beat));
     }
   }
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -193,6 +193,7 @@
 {
   mLookup.Configure(aSnapshot.mTopology);
   mSpill.Configure(aSnapshot);
+  mStop.SetLookupLifetime(aSnapshot.mTopology.mLookupLifetime);
   mCarriage.Configure(aSnapshot);
 }
 
--- a/packages/daemon/src/GracefulStop.cpp
+++ b/packages/daemon/src/GracefulStop.cpp
@@ -11,8 +11,8 @@
 
 constexpr base::Duration kTick = std::chrono::milliseconds(50);
 
-// Callers use a cached look-up for 5 s, so requests still arrive that long.
-constexpr base::Duration kCachedLookups = std::chrono::milliseconds(5500);
+// Time for the last request after the last cached look-up has expired.
+constexpr base::Duration kLastRequests = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -73,7 +73,7 @@
   const base::Duration elapsed = mShared.mLoop.Now() - mBegin;
   const bool isIdle =
     mCarriage.OpenRequests() == 0 && mServer.ActiveExchanges() == 0;
-  if ((isIdle && elapsed >= kCachedLookups) ||
+  if ((isIdle && elapsed >= mLifetime + kLastRequests) ||
       elapsed >= mShared.mSettings.mDrainLimit) {
     End();
   }
--- a/packages/daemon/src/GracefulStop.h
+++ b/packages/daemon/src/GracefulStop.h
@@ -25,6 +25,8 @@
   GracefulStop(const GracefulStop&) = delete;
   GracefulStop& operator=(const GracefulStop&) = delete;
 
+  /** Sets how long callers use a cached look-up. */
+  void SetLookupLifetime(base::Duration aLifetime) { mLifetime = aLifetime; }
   /** Blocks the signals and watches for them. */
   void Start();
 
@@ -40,6 +42,7 @@
   http::Server& mServer;
   std::function<void()> mLeaving;
   int mSignals = -1;
+  base::Duration mLifetime = std::chrono::seconds(5);
   bool mIsLeaving = false;
   base::TimePoint mBegin;
 };
--- a/packages/daemon/src/LookupService.cpp
+++ b/packages/daemon/src/LookupService.cpp
@@ -29,6 +29,15 @@
   return lookup::HostFitness::Excluded;
 }
 
+/** The lifetime comes from the topology; only the one without usable hosts is
+ * decided by the ranking. */
+lookup::RankingSettings MakeSettings()
+{
+  lookup::RankingSettings settings;
+  settings.mLifetime = std::chrono::hours(1);
+  return settings;
+}
+
 /** Callers of one /24 block are ranked alike. */
 std::uint64_t BlockOf(lookup::Ipv4 aAddress)
 {
@@ -40,13 +49,14 @@
 LookupService::LookupService(const Shared& aShared, const ClusterNode& aCluster)
   : mShared(aShared)
   , mCluster(aCluster)
-  , mRanking(lookup::RankingSettings(), aShared.mLoop.Now())
+  , mRanking(MakeSettings(), aShared.mLoop.Now())
 {
 }
 
 void LookupService::Configure(const config::TopologyFile& aTopology)
 {
   std::vector<lookup::Block<lookup::Ipv4>> blocks;
+  mLifetime = aTopology.mLookupLifetime;
   mSites.clear();
   mSiteRegions.clear();
   for (const config::Site& site : aTopology.mSites) {
@@ -132,8 +142,8 @@
   const lookup::LookupDecision decision =
     mRanking.Decide(CentreOf(aAddress, aDataCentre),
                     lookup::HashBlock(BlockOf(address.value_or(0))));
-  const auto lifetime =
-    std::chrono::duration_cast<std::chrono::seconds>(decision.mLifetime);
+  const auto lifetime = std::chrono::duration_cast<std::chrono::seconds>(
+    std::min(decision.mLifetime, mLifetime));
   std::string text = R"({"service":")" + aService.Text() +
                      R"(","lifetime_s":)" + std::to_string(lifetime.count()) +
                      R"(,"hosts":[)";
--- a/packages/daemon/src/LookupService.h
+++ b/packages/daemon/src/LookupService.h
@@ -50,6 +50,7 @@
   std::vector<base::DataCentreId> mSites;
   std::vector<base::RegionId> mSiteRegions;
   std::uint64_t mBlockVersion = 0;
+  base::Duration mLifetime = lookup::RankingSettings().mLifetime;
 };
 
 } // namespace auburnmux::daemon
--- a/packages/daemon/src/RequestCarrier.cpp
+++ b/packages/daemon/src/RequestCarrier.cpp
@@ -903,10 +903,9 @@
     mService.GetGates().mSpill.OnAdmittedEnd(mPlan.mService, *mAdmittedSender);
   }
   const Shared& shared = mService.Context();
-  const char* workClass =
-    mPlan.mClass == base::WorkClass::Short ? "short" : "long";
   const telemetry::Labels labels = { { "service", mPlan.mService.Text() },
-                                     { "class", workClass },
+                                     { "class",
+                                       config::WorkClassName(mPlan.mClass) },
                                      { "result", aResult } };
   const base::TimePoint now = shared.mLoop.Now();
   shared.mMetrics.Count("auburnmux_requests_total", labels);
--- a/packages/daemon/src/RequestPlan.cpp
+++ b/packages/daemon/src/RequestPlan.cpp
@@ -137,12 +137,8 @@
   }
   RequestPlan plan;
   plan.mService = aService.mService;
-  plan.mClass = route->mClass == config::WorkClass::Short
-                  ? base::WorkClass::Short
-                  : base::WorkClass::Long;
-  plan.mKind = route->mWork == config::WorkKind::Idempotent
-                 ? base::WorkKind::Idempotent
-                 : base::WorkKind::NonIdempotent;
+  plan.mClass = route->mClass;
+  plan.mKind = route->mWork;
   plan.mTarget = path + (aHead.mQuery.empty() ? "" : '?' + aHead.mQuery);
   plan.mArrival = aNow;
   plan.mCaller = limits::CallerKey(base::Hash64(aHead.mClientAddress));
--- a/packages/daemon/src/UpstreamSet.cpp
+++ b/packages/daemon/src/UpstreamSet.cpp
@@ -31,8 +31,11 @@
   spec.mId = aUpstream.mId;
   spec.mConnections = limits::SlotShare::Connections(
     aUpstream.mId, aUpstream.mConnections, self, aView.mPossibleHosts);
-  spec.mSlots = limits::SlotShare::Slots(aUpstream.mId, aUpstream.mSlots, self,
-                                         aView.mLiveHosts);
+  // Where there are more hosts than slots, the last ones in rendezvous order
+  // get none, so that all shares together never exceed the slots.
+  spec.mSlots =
+    limits::SlotShare::Slots(aUpstream.mId, aUpstream.mSlots, self,
+                             aView.mLiveHosts, limits::ShareFloor::None);
   if (!mShared.mMechanisms.mBalancing) {
     spec.mSlots = base::SlotCount(spec.mConnections.Count());
   }
--- a/packages/http/src/Internal.cpp
+++ b/packages/http/src/Internal.cpp
@@ -59,6 +59,21 @@
                value);
 }
 
+std::string Encode(const std::string& aText, std::string_view aAllowed)
+{
+  constexpr char kDigits[] = "0123456789ABCDEF";
+  std::string out;
+  for (const char it : aText) {
+    const auto byte = static_cast<unsigned char>(it);
+    if (std::isalnum(byte) != 0 || aAllowed.find(it) != aAllowed.npos) {
+      out += it;
+    } else {
+      out += { '%', kDigits[byte >> 4U], kDigits[byte & 15U] };
+    }
+  }
+  return out;
+}
+
 } // namespace
 
 Headers ReadHeaders(lws* aWsi)
@@ -110,20 +125,14 @@
   aOut += aHeader.mName + ": " + aHeader.mValue + "\r\n";
 }
 
-std::string EncodeTarget(const std::string& aText)
+std::string EncodePath(const std::string& aText)
 {
-  constexpr std::string_view kAllowed = "-._~/:@!$&'()*+,;=?";
-  constexpr char kDigits[] = "0123456789ABCDEF";
-  std::string out;
-  for (const char it : aText) {
-    const auto byte = static_cast<unsigned char>(it);
-    if (std::isalnum(byte) != 0 || kAllowed.find(it) != kAllowed.npos) {
-      out += it;
-    } else {
-      out += { '%', kDigits[byte >> 4U], kDigits[byte & 15U] };
-    }
-  }
-  return out;
+  return Encode(aText, "-._~/:@!$&'()*+,;=");
+}
+
+std::string EncodeParameter(const std::string& aText)
+{
+  return Encode(aText, "-._~/:@!$'()*+,;=?");
 }
 
 } // namespace auburnmux::http::internal
--- a/packages/http/src/Internal.h
+++ b/packages/http/src/Internal.h
@@ -37,7 +37,11 @@
 /** Appends `name: value` with a line end; drops fields with CR or LF. */
 void AppendField(std::string& aOut, const Header& aHeader);
 
-/** \returns \a aText with all bytes that a target may not hold encoded. */
-std::string EncodeTarget(const std::string& aText);
+/** \returns \a aText with all bytes that a path may not hold encoded. */
+std::string EncodePath(const std::string& aText);
+
+/** \returns one `key=value` of a query, with all bytes that would end it or
+ * may not stand there encoded. */
+std::string EncodeParameter(const std::string& aText);
 
 } // namespace auburnmux::http::internal
--- a/packages/http/src/Server.cpp
+++ b/packages/http/src/Server.cpp
@@ -121,7 +121,7 @@
   for (int i = 0; lws_hdr_copy_fragment(aWsi, buf.data(), buf.size(),
                                         WSI_TOKEN_HTTP_URI_ARGS, i) > 0;
        ++i) {
-    query += (i > 0 ? "&" : "") + internal::EncodeTarget(buf.data());
+    query += (i > 0 ? "&" : "") + internal::EncodeParameter(buf.data());
   }
   return query;
 }
@@ -130,7 +130,7 @@
 {
   RequestHead head;
   head.mMethod = ReadMethod(aWsi);
-  head.mPath = aPath;
+  head.mPath = internal::EncodePath(std::string(aPath));
   head.mQuery = ReadQuery(aWsi);
   head.mHeaders = internal::ReadHeaders(aWsi);
   std::array<char, 64> buf{};
@@ -238,7 +238,8 @@
     mHandler(connection);
   }
   // The socket is writable now: a response that is ready needs no other turn.
-  return connection->IsFinished() ? connection->HandleWritable() : 0;
+  const bool isDecided = connection->IsFinished() || connection->IsAborted();
+  return isDecided ? connection->HandleWritable() : 0;
 }
 
 std::shared_ptr<ServerConnection> Server::Impl::Find(lws* aWsi)
--- a/packages/http/src/ServerConnection.h
+++ b/packages/http/src/ServerConnection.h
@@ -32,6 +32,7 @@
   void CloseAfterResponse() { mClosesAfter = true; }
   /** \returns whether the whole response waits to be written. */
   bool IsFinished() const { return mIsFinished; }
+  bool IsAborted() const { return mIsAborted; }
 
   void HandleBody(std::string_view aPart);
   void HandleBodyEnd();
