--- a/packages/http/Http.h
+++ b/packages/http/Http.h
@@ -6,6 +6,8 @@
 
 #include "http/src/Message.h"
 
+#include "http/src/Listener.h"
+
 #include "http/src/Server.h"
 
 #include "http/src/Client.h"
--- a/packages/http/src/Listener.cpp
+++ b/packages/http/src/Listener.cpp
@@ -6,7 +6,7 @@
 #include <unistd.h>
 #include <utility>
 
-namespace auburnmux::http::internal {
+namespace auburnmux::http {
 
 namespace {
 
@@ -78,4 +78,4 @@
   }
 }
 
-} // namespace auburnmux::http::internal
+} // namespace auburnmux::http
--- a/packages/http/src/Listener.h
+++ b/packages/http/src/Listener.h
@@ -5,7 +5,7 @@
 
 #include <functional>
 
-namespace auburnmux::http::internal {
+namespace auburnmux::http {
 
 /** A listening IPv4 socket that hands over what it accepts. */
 class Listener
@@ -32,4 +32,4 @@
   Loop::WatchId mWatch;
 };
 
-} // namespace auburnmux::http::internal
+} // namespace auburnmux::http
--- a/packages/http/src/Server.cpp
+++ b/packages/http/src/Server.cpp
@@ -22,7 +22,7 @@
   Handler mHandler;
   ConnectionObserver* mObserver = nullptr;
   lws_vhost* mVhost = nullptr;
-  std::unique_ptr<internal::Listener> mListener;
+  std::unique_ptr<Listener> mListener;
   std::unique_ptr<internal::HangupMonitor> mHangups;
   bool mClosesAfterResponses = false;
   std::unordered_map<lws*, std::shared_ptr<ServerConnection>> mConnections;
@@ -293,7 +293,7 @@
   mImpl->mHangups = std::make_unique<internal::HangupMonitor>(
     aLoop,
     [impl = mImpl.get()](int aDescriptor) { impl->HandleHangup(aDescriptor); });
-  mImpl->mListener = std::make_unique<internal::Listener>(
+  mImpl->mListener = std::make_unique<Listener>(
     aLoop, aListen,
     [impl = mImpl.get()](int aDescriptor) { impl->Adopt(aDescriptor); });
 }
