--- a/standins/apps/standin-caller.cpp
+++ b/standins/apps/standin-caller.cpp
@@ -3,6 +3,8 @@
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
 #include <sstream>
 
 using namespace auburnmux;
@@ -104,6 +106,8 @@
 
 int main(int aArgc, char** aArgv)
 {
+  // The output carries the report only.
+  spdlog::set_default_logger(spdlog::stderr_logger_mt("caller"));
   cxxopts::Options options = DescribeFlags();
   try {
     const auto flags = options.parse(aArgc, aArgv);
--- a/standins/src/Caller.cpp
+++ b/standins/src/Caller.cpp
@@ -182,6 +182,13 @@
     return; // the run is over
   }
   const Verdict verdict = CheckAnswer(aRequest->mExpected, aResult);
+  if (verdict == Verdict::Wrong) {
+    base::LogWarning(base::LogLine("wrong_answer")
+                       .With("target", aRequest->mTarget)
+                       .With("key", aRequest->mExpected.mKey)
+                       .With("digest", aRequest->mExpected.mDigest)
+                       .With("answer", aResult.mBody.substr(0, 400)));
+  }
   if (verdict == Verdict::NotReached) {
     mLookups.Drop(aRequest->mClass->mService);
   }
--- a/standins/test/UpstreamTest.cpp
+++ b/standins/test/UpstreamTest.cpp
@@ -97,6 +97,31 @@
   CHECK_EQUAL(3, mUpstream.Stats()["executed"].get<int>());
 }
 
+// Guards against upload bodies that are damaged while several arrive or wait.
+TEST(Upstream, ConcurrentUploadsArriveUnchanged)
+{
+  UpstreamSettings settings = Settings();
+  settings.mListen.mPort = base::PortNumber(kPort + 1);
+  settings.mQueueLimit = 20;
+  const Upstream upstream(mLoop, mLedger, settings);
+  std::size_t done = 0;
+  std::size_t damaged = 0;
+  for (std::size_t i = 0; i < 12; ++i) {
+    std::string body(200000, static_cast<char>('a' + i));
+    body.replace(0, 8, "upload--");
+    http::Fetch(mLoop, mClient, Request(kPort + 1, "PUT", "/uploads"), body,
+                std::chrono::seconds(5),
+                [&, digest = base::DigestHex(body)](const FetchResult& aIt) {
+                  damaged += aIt.mBody.find(digest) == std::string::npos;
+                  if (++done == 12) {
+                    mLoop.Stop();
+                  }
+                });
+  }
+  mLoop.Run();
+  CHECK_EQUAL(0U, damaged);
+}
+
 TEST(Upstream, CountsKeysExecutedTwice)
 {
   CHECK_TRUE(Fetch(Post("a")).IsOk());
