Test the receiver's own check of token, count and room

Change: one test that admits without a sender's bound. Conclusion: both sides hold the bound on their own.

--- a/packages/steering/test/GrantTest.cpp
+++ b/packages/steering/test/GrantTest.cpp
@@ -468,6 +468,27 @@
   CHECK_FALSE(issuer.Admit(asked + 10s, Sender(0), offer.mToken));
 }
 
+// Guards against a sender that uses more than its grant, and against
+// forwarded work beyond the slots that local work leaves.
+TEST(Grants, ReceiverChecksCountTokenAndRoom)
+{
+  GrantIssuer issuer({ SlotCount(10), SlotCount(10), {} }, kStart);
+  base::Random random(1);
+  const base::TimePoint now = kStart + kGrantLifetime;
+  issuer.OnMeasured(now, { SlotCount(10), SlotCount(0) });
+  const auto offer =
+    issuer.OnRequest(now, Sender(0), Correlation(1), SlotCount(2), random);
+  const GrantToken wrong(offer.mToken.Count() + 1);
+  CHECK_FALSE(issuer.Admit(now, Sender(0), wrong));
+  CHECK_FALSE(issuer.Admit(now, Sender(1), offer.mToken));
+  CHECK_TRUE(issuer.Admit(now, Sender(0), offer.mToken));
+  issuer.OnMeasured(now, { SlotCount(10), SlotCount(9) });
+  CHECK_FALSE(issuer.Admit(now, Sender(0), offer.mToken));
+  issuer.OnMeasured(now, { SlotCount(10), SlotCount(0) });
+  CHECK_TRUE(issuer.Admit(now, Sender(0), offer.mToken));
+  CHECK_FALSE(issuer.Admit(now, Sender(0), offer.mToken));
+}
+
 // Guards against a raised portion that counts while another host of the data
 // centre still uses the old configuration.
 TEST(Grants, RaisedPortionCountsLaterLoweredOneAtOnce)
