Rank hosts by the client's whole address; measure with many clients

Cause: tail_slowed showed 186 ms undisturbed at 70% load. All callers shared one address, so one of the two hosts of addis-1 took the work of both with half of the slots; ranking by /24 block does the same to a site with one block. Ruled out: the shares themselves; data centres with one host were even. Change: look-ups rank by the whole address; the site still comes from the block. standin-caller can set its address and the measures use four clients for each data centre.

--- a/packages/daemon/src/ConfigService.cpp
+++ b/packages/daemon/src/ConfigService.cpp
@@ -86,7 +86,7 @@
       if (const auto* found = std::get_if<platform::ObjectFound>(&aResult)) {
         OnPointerBytes(found->mVersion, found->mBytes);
       } else if (std::holds_alternative<platform::ObjectUnchanged>(aResult)) {
-        mBackoff.Reset();
+        OnCallAnswered();
         mState.NotePlatformVersion(mState.Tag(), mShared.mLoop.Now());
       } else {
         OnCallFailed();
@@ -127,11 +127,19 @@
   }
 }
 
+void ConfigService::OnCallAnswered()
+{
+  mBackoff.Reset();
+  if (std::exchange(mWasUnreachable, false)) {
+    base::LogInfo(base::LogLine("platform_reachable")
+                    .With("version", mState.Tag().mVersion));
+  }
+}
+
 void ConfigService::OnPointerBytes(base::ObjectVersion aVersion,
                                    const std::string& aBytes)
 {
-  mBackoff.Reset();
-  mWasUnreachable = false;
+  OnCallAnswered();
   const auto decoded = config::DecodePointer(aBytes);
   const auto* pointer = std::get_if<config::CurrentPointer>(&decoded);
   if (pointer == nullptr) {
--- a/packages/daemon/src/ConfigService.h
+++ b/packages/daemon/src/ConfigService.h
@@ -45,6 +45,7 @@
   void Watch();
   void Read();
   void OnPointerBytes(base::ObjectVersion aVersion, const std::string& aBytes);
+  void OnCallAnswered();
   void OnCallFailed();
   void FetchNextPart();
   void OnSnapshotRequest(const base::HostId& aFrom,
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/src/Daemon.h"
 
 #include "daemon/src/AdminPages.h"
+#include "daemon/src/Answers.h"
 #include "daemon/src/Carriage.h"
 #include "daemon/src/ClaimService.h"
 #include "daemon/src/ClusterNode.h"
@@ -67,7 +68,7 @@
   Impl(const config::HostSettings& aSettings, Mechanisms aMechanisms);
 
   void Start();
-  void OnRequest(std::shared_ptr<http::ServerExchange> aExchange);
+  void OnRequest(const std::shared_ptr<http::ServerExchange>& aExchange);
   void OnEnvelope(const protocol::Envelope& aEnvelope);
   void OnViewChanged();
   void OnConfigChanged(const config::Snapshot& aSnapshot);
@@ -121,8 +122,8 @@
   , mPages(
       { mShared, mCluster, mConfig, mLookup, mCarriage, mTransport, mPlatform })
   , mServer(mLoop, { mSettings.mListen.mAddress, mSettings.mListen.mPort },
-            [this](std::shared_ptr<http::ServerExchange> aExchange) {
-              OnRequest(std::move(aExchange));
+            [this](const std::shared_ptr<http::ServerExchange>& aExchange) {
+              OnRequest(aExchange);
             })
   , mStop(mShared, mCluster, mCarriage, mServer,
           [this] { mLookup.OnViewChanged(); })
@@ -142,11 +143,19 @@
   mLoop.Every(kHostListInterval, [this] { ReadHostList(); });
 }
 
-void Daemon::Impl::OnRequest(std::shared_ptr<http::ServerExchange> aExchange)
+void Daemon::Impl::OnRequest(
+  const std::shared_ptr<http::ServerExchange>& aExchange)
 {
-  if (!mPages.Handle(*aExchange)) {
-    mCarriage.Accept(std::move(aExchange));
+  if (mPages.Handle(*aExchange)) {
+    return;
+  }
+  if (mConfig.State().InForce() == nullptr) {
+    SendRefusal(*aExchange, { 503, base::WorkOutcome::NotRun,
+                              "no configuration is in force yet",
+                              std::chrono::seconds(1) });
+    return;
   }
+  mCarriage.Accept(aExchange);
 }
 
 void Daemon::Impl::OnEnvelope(const protocol::Envelope& aEnvelope)
--- a/packages/daemon/src/LookupService.cpp
+++ b/packages/daemon/src/LookupService.cpp
@@ -38,12 +38,6 @@
   return settings;
 }
 
-/** Callers of one /24 block are ranked alike. */
-std::uint64_t BlockOf(lookup::Ipv4 aAddress)
-{
-  return aAddress >> 8U;
-}
-
 } // namespace
 
 LookupService::LookupService(const Shared& aShared, const ClusterNode& aCluster)
@@ -141,7 +135,7 @@
   const auto address = ParseIpv4(aAddress);
   const lookup::LookupDecision decision =
     mRanking.Decide(CentreOf(aAddress, aDataCentre),
-                    lookup::HashBlock(BlockOf(address.value_or(0))));
+                    lookup::HashBlock(std::uint64_t{ address.value_or(0) }));
   const auto lifetime = std::chrono::duration_cast<std::chrono::seconds>(
     std::min(decision.mLifetime, mLifetime));
   std::string text = R"({"service":")" + aService.Text() +
--- a/packages/daemon/src/ServiceRuntime.cpp
+++ b/packages/daemon/src/ServiceRuntime.cpp
@@ -197,7 +197,7 @@
     }
     http::ClientRequest request;
     request.mEndpoint = *endpoint;
-    request.mTarget = "/healthz";
+    request.mTarget = "/health";
     request.mNeedsFreshConnection = true;
     http::Fetch(mShared.mLoop, mShared.mClient, request, {}, kProbeTimeout,
                 [this, id = it.mId](const http::FetchResult& aResult) {
--- a/packages/http/src/Client.cpp
+++ b/packages/http/src/Client.cpp
@@ -78,8 +78,9 @@
     std::size_t mLanes = 0;
   };
 
-  explicit Impl(Loop& aLoop)
+  Impl(Loop& aLoop, std::string aSource)
     : mLoop(aLoop)
+    , mSource(std::move(aSource))
   {
     mFreshVhost = CreateVhost("client-fresh");
   }
@@ -92,6 +93,7 @@
                ClientConnection* aConnection) const;
 
   Loop& mLoop;
+  std::string mSource;
   lws_vhost* mFreshVhost = nullptr;
   std::vector<lws_vhost*> mLaneVhosts;
   std::map<Endpoint, Pool> mPools;
@@ -146,6 +148,7 @@
   // libwebsockets reuses a kept connection only when host and address are the
   // same text, so the Host field goes without the port.
   info.host = info.address;
+  info.iface = mSource.empty() ? nullptr : mSource.c_str();
   info.method = aRequest.mMethod.c_str();
   info.protocol = "client";
   info.local_protocol_name = "client";
@@ -159,8 +162,8 @@
   return lws_client_connect_via_info(&info);
 }
 
-Client::Client(Loop& aLoop)
-  : mImpl(std::make_unique<Impl>(aLoop))
+Client::Client(Loop& aLoop, std::string aSource)
+  : mImpl(std::make_unique<Impl>(aLoop, std::move(aSource)))
 {
 }
 
--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -88,7 +88,8 @@
 class Client
 {
 public:
-  explicit Client(Loop& aLoop);
+  /** \param aSource address that connections come from; empty for any. */
+  explicit Client(Loop& aLoop, std::string aSource = {});
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -83,19 +83,27 @@
   jq -r '.regions[].data_centres[].name' "$1/topology.json"
 }
 
+# Clients of one data centre; each has an address and a look-up of its own.
+clients_per_centre=4
+
 # Sends a mix from every data centre; reports go to $run/NAME-*.json.
 call() { # NAME FOLDER RATE_OF_ALL SECONDS OPTION...
-  local name=$1 dir=$2 rate=$3 seconds=$4 centre n pids=() pid
+  local name=$1 dir=$2 rate=$3 seconds=$4 centre block n i pids=() pid
   shift 4
   rm -f "$run/$name"-*.json
-  n=$(centres "$dir" | wc -l)
+  n=$(($(centres "$dir" | wc -l) * clients_per_centre))
   local seed=1
   for centre in $(centres "$dir"); do
-    build/standins/standin-caller --entry "$(entries "$dir")" \
-      --data-centre "$centre" --rate "$((rate / n))" --seconds "$seconds" \
-      --seed $((seed++)) --out "$run/$name-$centre.json" "$@" \
-      >"$run/$name-$centre.log" 2>&1 &
-    pids+=($!)
+    block=$(jq -r --arg dc "$centre" \
+      '.sites[] | select(.data_centre == $dc) | .blocks[0]' "$dir/topology.json" | head -1)
+    for ((i = 1; i <= clients_per_centre; ++i)); do
+      build/standins/standin-caller --entry "$(entries "$dir")" \
+        --source "${block%.*}.$((i * 7))" --data-centre "$centre" \
+        --rate "$((rate / n))" --seconds "$seconds" --seed $((seed++)) \
+        --out "$run/$name-$centre-$i.json" "$@" \
+        >"$run/$name-$centre-$i.log" 2>&1 &
+      pids+=($!)
+    done
   done
   for pid in "${pids[@]}"; do wait "$pid"; done
 }
--- a/standins/apps/standin-caller.cpp
+++ b/standins/apps/standin-caller.cpp
@@ -31,6 +31,7 @@
   add("linger", "seconds to wait for the last answers", number("10"));
   add("seed", "seed of the random numbers", number("1"));
   add("data-centre", "data centre of the caller", text(""));
+  add("source", "address that connections come from", text(""));
   add("max-attempts", "attempts at one request", number("4"));
   for (const char* it : { "check", "once", "upload" }) {
     const std::string name = it;
@@ -94,6 +95,7 @@
   it.mLinger = Milliseconds(aFlags["linger"].as<double>() * 1000);
   it.mSeed = static_cast<std::uint64_t>(aFlags["seed"].as<double>());
   it.mDataCentre = aFlags["data-centre"].as<std::string>();
+  it.mSource = aFlags["source"].as<std::string>();
   it.mMaxAttempts = static_cast<int>(aFlags["max-attempts"].as<double>());
   it.mKeepsTimeline = aFlags.count("timeline") > 0;
   it.mKeepsKeys = aFlags.count("keys") > 0;
--- a/standins/src/Caller.cpp
+++ b/standins/src/Caller.cpp
@@ -42,7 +42,7 @@
   : mLoop(aLoop)
   , mSettings(std::move(aSettings))
   , mOnDone(std::move(aOnDone))
-  , mClient(aLoop)
+  , mClient(aLoop, mSettings.mSource)
   , mLookups(aLoop, mClient, mSettings.mEntries, mSettings.mDataCentre)
   , mRandom(mSettings.mSeed)
   , mStart(aLoop.Now())
--- a/standins/src/CallerSettings.h
+++ b/standins/src/CallerSettings.h
@@ -30,6 +30,8 @@
 {
   std::vector<http::Endpoint> mEntries;
   std::string mDataCentre;
+  /** Address that connections come from; empty for any. */
+  std::string mSource;
   std::vector<RequestClass> mClasses;
   /** Requests per second over all classes. */
   double mRate = 10;
