Don't reuse a connection in the middle of a request

Cause: a response that arrives while libwebsockets still holds a part of the request's body ended the exchange as reusable; the next request on that connection got no answer until the idle limit closed it, 5 s later. A response before the whole body was handed over left the lane and the object unreturned. Ruled out: the server. Over plain sockets, 60 of 60 requests that followed a refused body were answered, with the body sent before, around and after the refusal. Returning the lane alone is not enough (3 of 3 runs still failed). Change: such a connection is closed at the end of its exchange. Measured: BadInput.RequestAfterRefusedBody failed in 2 of 2 runs before and passed in 3 of 3 after; test_http passes. Conclusion: what libwebsockets has buffered counts as unsent.

BadInput also sends malformed, slow and oversized requests and garbage to the peer port.

--- a/packages/http/src/Client.cpp
+++ b/packages/http/src/Client.cpp
@@ -44,8 +44,7 @@
       return connection->HandleWritable(aWsi);
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
       lws_set_opaque_user_data(aWsi, nullptr);
-      connection->HandleCompleted(aWsi);
-      return 0;
+      return connection->HandleCompleted(aWsi);
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
     case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
     case LWS_CALLBACK_WSI_DESTROY:
--- a/packages/http/src/ClientConnection.cpp
+++ b/packages/http/src/ClientConnection.cpp
@@ -252,7 +252,7 @@
   return 0;
 }
 
-void ClientConnection::HandleCompleted(lws* aWsi)
+int ClientConnection::HandleCompleted(lws* aWsi)
 {
   const auto self = mSelf;
   // libwebsockets reports a chunked response as complete, too, when the other
@@ -262,21 +262,18 @@
     mBodyLeft ? *mBodyLeft > 0 : mHasHead && IsClosedByPeer(aWsi);
   if (isTruncated) {
     HandleBroken();
-    return;
+    return 0;
   }
   // A response that came before the whole request was sent leaves the
-  // connection in the middle of a body.
-  const bool isReusable = mUnsentBody == 0 && mOut.size() == mOutStart;
-  if (!isReusable) {
-    CloseConnection();
-  }
+  // connection in the middle of a body, of which libwebsockets may hold a part.
+  const bool isReusable = mUnsentBody == 0 && mOut.size() == mOutStart &&
+                          lws_partial_buffered(aWsi) == 0;
   const auto observer = std::exchange(mObserver, nullptr);
-  if (isReusable) {
-    ReleaseConnection(Release::Idle);
-  }
+  ReleaseConnection(isReusable ? Release::Idle : Release::Closed);
   if (observer) {
     observer->OnEnd();
   }
+  return isReusable ? 0 : -1;
 }
 
 void ClientConnection::HandleBroken()
--- a/packages/http/src/ClientConnection.h
+++ b/packages/http/src/ClientConnection.h
@@ -48,7 +48,8 @@
   int HandleReadable(lws* aWsi);
   void HandleBody(std::string_view aPart);
   int HandleWritable(lws* aWsi);
-  void HandleCompleted(lws* aWsi);
+  /** \returns -1 when the connection can't carry another request. */
+  int HandleCompleted(lws* aWsi);
   void HandleBroken();
 
 private:
