Probe leaving upstreams at their health page

Cause: the daemon asked a leaving upstream at /healthz, which upstreams count as a request for work, so one arrived after the drain limit. Ruled out: requests of callers; with the probe at /health none arrives. Change: the probe goes to /health, the page that upstreams have. Conclusion: the page's path is part of the interface to upstreams.

--- a/packages/daemon/src/ServiceRuntime.cpp
+++ b/packages/daemon/src/ServiceRuntime.cpp
@@ -8,6 +8,8 @@
 
 constexpr base::Duration kStragglerInterval = std::chrono::milliseconds(250);
 constexpr base::Duration kLeavingProbeInterval = std::chrono::seconds(5);
+/** The upstreams' health page; any other path would count as new work. */
+constexpr const char* kHealthPath = "/health";
 constexpr base::Duration kProbeTimeout = std::chrono::seconds(1);
 constexpr std::chrono::seconds kRetryAfter{ 1 };
 
@@ -197,7 +199,7 @@
     }
     http::ClientRequest request;
     request.mEndpoint = *endpoint;
-    request.mTarget = "/healthz";
+    request.mTarget = kHealthPath;
     request.mNeedsFreshConnection = true;
     http::Fetch(mShared.mLoop, mShared.mClient, request, {}, kProbeTimeout,
                 [this, id = it.mId](const http::FetchResult& aResult) {
