--- a/packages/daemon/src/ServiceRuntime.cpp
+++ b/packages/daemon/src/ServiceRuntime.cpp
@@ -8,6 +8,8 @@
 
 constexpr base::Duration kStragglerInterval = std::chrono::milliseconds(250);
 constexpr base::Duration kLeavingProbeInterval = std::chrono::seconds(5);
+/** The upstreams' health page; any other path would count as new work. */
+constexpr const char* kHealthPath = "/health";
 constexpr base::Duration kProbeTimeout = std::chrono::seconds(1);
 constexpr std::chrono::seconds kRetryAfter{ 1 };
 
