Forget open requests when their client is destroyed

Cause: a program that ends with requests open destroys its client before its loop. The loop then closed the connections, which called observers and the client's freed pools. test_process reported a damaged heap when a test failed with a request open; the daemon ends in the same order. Ruled out: nothing else was looked at. Change: connections hold a weak reference to their client and drop the observer once it is gone. Measured: Http.ClientDestroyedWithARequestOpen failed before and passes now; test_http passes (15 tests), and 24 process tests pass in 61.1 s. Conclusion: no event may reach an observer after its client's end.

--- a/packages/http/src/Client.cpp
+++ b/packages/http/src/Client.cpp
@@ -29,6 +29,7 @@
   if (connection == nullptr) {
     return 0;
   }
+  connection->ForgetIfOrphaned();
   switch (aReason) {
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
       return connection->HandleHandshake(
@@ -91,6 +92,8 @@
                ClientConnection* aConnection) const;
 
   Loop& mLoop;
+  /** Tells connections, which may outlive the client, that it lives. */
+  std::shared_ptr<const void> mLifetime = std::make_shared<char>();
   lws_vhost* mFreshVhost = nullptr;
   std::vector<lws_vhost*> mLaneVhosts;
   std::map<Endpoint, Pool> mPools;
@@ -180,13 +183,15 @@
     };
   }
   auto connection = std::make_shared<ClientConnection>(
-    impl.mLoop, aRequest, std::move(aObserver), std::move(onRelease));
+    impl.mLoop, aRequest, std::move(aObserver), std::move(onRelease),
+    impl.mLifetime);
   connection->KeepAlive(connection);
   // libwebsockets writes the request head into the buffer from which it may
   // still be delivering the body of a server's request, so the connection
   // waits until no read is under way.
   impl.mLoop.After(
     base::Duration::zero(), [&impl, vhost, connection, aRequest] {
+      connection->ForgetIfOrphaned();
       if (connection->IsWanted()) {
         connection->Attach(impl.Connect(aRequest, vhost, connection.get()));
       }
--- a/packages/http/src/ClientConnection.cpp
+++ b/packages/http/src/ClientConnection.cpp
@@ -29,11 +29,13 @@
 
 ClientConnection::ClientConnection(Loop& aLoop, const ClientRequest& aRequest,
                                    std::shared_ptr<ResponseObserver> aObserver,
-                                   OnRelease aOnRelease)
+                                   OnRelease aOnRelease,
+                                   std::weak_ptr<const void> aOwner)
   : mLoop(aLoop)
   , mRequest(aRequest)
   , mObserver(std::move(aObserver))
   , mOnRelease(std::move(aOnRelease))
+  , mOwner(std::move(aOwner))
   , mOut(kWriteMargin, '\0')
   , mOutStart(kWriteMargin)
 {
@@ -134,6 +136,14 @@
   }
 }
 
+void ClientConnection::ForgetIfOrphaned()
+{
+  if (mOwner.expired()) {
+    mObserver.reset();
+    mOnRelease = nullptr;
+  }
+}
+
 int ClientConnection::HandleHandshake(lws* aWsi, unsigned char** aPosition,
                                       std::size_t aRoom)
 {
@@ -303,6 +313,7 @@
 
 void ClientConnection::Fail(FailureKind aKind)
 {
+  ForgetIfOrphaned();
   StopConnectTimer();
   const auto self = mSelf;
   if (mWsi == nullptr) {
--- a/packages/http/src/ClientConnection.h
+++ b/packages/http/src/ClientConnection.h
@@ -25,7 +25,7 @@
 
   ClientConnection(Loop& aLoop, const ClientRequest& aRequest,
                    std::shared_ptr<ResponseObserver> aObserver,
-                   OnRelease aOnRelease);
+                   OnRelease aOnRelease, std::weak_ptr<const void> aOwner);
   ~ClientConnection() override;
   ClientConnection(const ClientConnection&) = delete;
   ClientConnection& operator=(const ClientConnection&) = delete;
@@ -43,6 +43,8 @@
   /** Keeps the object alive until its connection is released. */
   void KeepAlive(std::shared_ptr<ClientConnection> aSelf);
 
+  /** Drops the observer once the client is gone: nobody waits any more. */
+  void ForgetIfOrphaned();
   int HandleHandshake(lws* aWsi, unsigned char** aPosition, std::size_t aRoom);
   int HandleHead(lws* aWsi);
   int HandleReadable(lws* aWsi);
@@ -63,6 +65,7 @@
   ClientRequest mRequest;
   std::shared_ptr<ResponseObserver> mObserver;
   OnRelease mOnRelease;
+  std::weak_ptr<const void> mOwner;
   std::shared_ptr<ClientConnection> mSelf;
   lws* mWsi = nullptr;
   std::optional<Loop::TimerId> mConnectTimer;
--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -527,3 +527,28 @@
   }
   CHECK_EQUAL(2, closed);
 }
+
+// A program that ends with requests open destroys its client before its loop:
+// the close of the connections must not reach what is gone.
+TEST(Http, ClientDestroyedWithARequestOpen)
+{
+  bool isCalled = false;
+  {
+    Loop loop;
+    const http::Endpoint endpoint{ kAddress, base::PortNumber(19499) };
+    std::shared_ptr<ServerExchange> held;
+    const http::Server server(
+      loop, endpoint, [&](const std::shared_ptr<ServerExchange>& aExchange) {
+        held = aExchange;
+      });
+    auto client = std::make_unique<http::Client>(loop);
+    const auto exchange =
+      http::Fetch(loop, *client, { endpoint }, {}, std::chrono::seconds(10),
+                  [&](const FetchResult& /*aResult*/) { isCalled = true; });
+    while (!held) {
+      loop.RunOnce();
+    }
+    client.reset();
+  }
+  CHECK_FALSE(isCalled);
+}
