--- a/packages/daemon/src/ServiceRuntime.cpp
+++ b/packages/daemon/src/ServiceRuntime.cpp
@@ -199,7 +199,7 @@
     }
     http::ClientRequest request;
     request.mEndpoint = *endpoint;
-    request.mTarget = "/health";
+    request.mTarget = kHealthPath;
     request.mNeedsFreshConnection = true;
     http::Fetch(mShared.mLoop, mShared.mClient, request, {}, kProbeTimeout,
                 [this, id = it.mId](const http::FetchResult& aResult) {
