Read a short rest of a body before its answer is written

Cause: PlatformClient.TellsCertainFromUnknownResults hung. strace showed the server reading the last body byte of one request together with the head of the next: the answer had been sent before the body was complete, so the client sent its next request on the same connection. Ruled out: the client's reuse rule; it had sent its whole request.

--- a/packages/http/src/ServerConnection.cpp
+++ b/packages/http/src/ServerConnection.cpp
@@ -162,6 +162,7 @@
     return;
   }
   mIsFinished = true;
+  mClosesAfter = mClosesAfter || (mIsStarted && !mIsBodyEnded);
   if (mIsChunked && mHead.mMethod != "HEAD") {
     mOut += "0\r\n\r\n";
   }
@@ -219,6 +220,7 @@
   if (lws_write(mWsi, data, n, LWS_WRITE_HTTP) < 0) {
     return false;
   }
+  mIsStarted = true;
   mOutStart += n;
   if (mOutStart == mOut.size()) {
     mOut.resize(kWriteMargin);
@@ -235,6 +237,12 @@
   if (mIsAborted) {
     return -1;
   }
+  // A caller that has its answer may send its next request, which
+  // libwebsockets can't tell from the rest of this body. A short rest is read
+  // before the answer is written.
+  if (mIsFinished && !mIsBodyEnded && !mIsStarted && !mClosesAfter) {
+    return 0;
+  }
   if (mOut.size() > mOutStart && !WritePending()) {
     return -1;
   }
--- a/packages/http/src/ServerConnection.h
+++ b/packages/http/src/ServerConnection.h
@@ -67,6 +67,8 @@
   bool mIsHeadSent = false;
   bool mIsChunked = false;
   bool mIsFinished = false;
+  // Whether any byte of the response was written.
+  bool mIsStarted = false;
   bool mIsWritten = false;
   bool mIsAborted = false;
   bool mClosesAfter = false;
--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -217,6 +217,40 @@
   }
 }
 
+// Guards against a next request that is read as the rest of a body, after an
+// answer that came before the whole body.
+TEST(Http, AnswersBeforeTheBodyKeepRequestsApart)
+{
+  const base::PortNumber port(19209);
+  http::Server server(mLoop, { kAddress, port },
+                      [](const std::shared_ptr<ServerExchange>& aExchange) {
+                        aExchange->Respond(412, {}, aExchange->Head().mPath);
+                      });
+  for (int i = 0; i < 20; ++i) {
+    const std::string target = "/" + std::to_string(i);
+    const FetchResult result = Fetch({ { kAddress, port }, "PUT", target },
+                                     std::string(i % 3 * 40000 + 1, 'x'));
+    CHECK_FALSE(result.mFailure.has_value());
+    LONGS_EQUAL(412, result.mHead.mStatus);
+    STRCMP_EQUAL(target.c_str(), result.mBody.c_str());
+  }
+}
+
+// Guards against pipelined requests that mix, or stop the loop.
+TEST(Http, PipelinedRequestsAreAnsweredInOrder)
+{
+  const base::PortNumber port(19239);
+  const auto server = Echo(port);
+  const std::string response = Exchange(
+    port, "PUT /a HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n\r\n"
+          "oneGET /b HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+  const std::size_t first = response.find("one");
+  const std::size_t second = response.find("/b?");
+  CHECK_TRUE(first != std::string::npos);
+  CHECK_TRUE(second != std::string::npos);
+  CHECK_TRUE(first < second);
+}
+
 // Guards against a connection that stays open after its handler broke it.
 TEST(Http, AbortInTheHandlerBreaksTheConnection)
 {
