Retry after a refused connection without budget

Cause: Upstreams.ChecksGoOnAfterCrashes was red: with 2 of 6 upstreams down and little traffic the retry budget of 1 a second was used up and checks got 503 not-run. Ruled out: ejecting after one refusal, because a single refusal during a restart would eject a healthy upstream. Change: a refused connection with no byte sent spends no budget; the limit of 3 attempts stays.

--- a/packages/retries/src/AttemptPolicy.cpp
+++ b/packages/retries/src/AttemptPolicy.cpp
@@ -34,7 +34,11 @@
                        !aAttempt.mForwarded;
   const bool possible =
     aAttempt.mAttempts < kMaxAttempts && aAttempt.mRemaining >= kLeastRemaining;
-  if (safe && allowed && possible && aBudget.TrySpend(aNow)) {
+  // A refused connection gave the upstream no work, so repeating it elsewhere
+  // can't multiply an overload.
+  const bool isFree =
+    aAttempt.mKind == FailureKind::Refused && !aAttempt.mBytesMayHaveArrived;
+  if (safe && allowed && possible && (isFree || aBudget.TrySpend(aNow))) {
     return RetryElsewhere{};
   }
   return GiveUp{ Outcome(aAttempt) };
