--- a/packages/idempotency/src/ClaimLog.h
+++ b/packages/idempotency/src/ClaimLog.h
@@ -29,7 +29,7 @@
   base::Duration mQueryWait = std::chrono::milliseconds(300);
   /** Keys in memory; above it, new claims are refused. */
   std::size_t mMaxKeys = 200000;
-  base::ByteCount mBodyBudget{ 4 * 1024 * 1024 };
+  base::ByteCount mBodyBudget{ std::uint64_t{ 4 } * 1024 * 1024 };
   /** A segment of this size is sealed. At most kSealAtBytes. */
   base::ByteCount mSealAt{ kSealAtBytes };
   /** Time between two sweeps for old keys and segments. */
--- a/packages/idempotency/src/SegmentCodec.h
+++ b/packages/idempotency/src/SegmentCodec.h
@@ -10,9 +10,9 @@
 namespace auburnmux::idempotency {
 
 /** A segment that reaches this size is sealed in the same update. */
-constexpr std::size_t kSealAtBytes = 64 * 1024;
+constexpr std::size_t kSealAtBytes = std::size_t{ 64 } * 1024;
 /** Most bytes of records in one batch. */
-constexpr std::size_t kMaxBatchBytes = 64 * 1024;
+constexpr std::size_t kMaxBatchBytes = std::size_t{ 64 } * 1024;
 constexpr std::size_t kMaxBatchRecords = 512;
 /** A segment just below the seal size, one batch and their framing. */
 constexpr std::size_t kMaxSegmentBytes = kSealAtBytes + kMaxBatchBytes + 8192;
