Split RequestCarrier by phase of a request

Change: the results of attempts and the answer have files of their own; no statement changed besides two constants that moved into the class. Conclusion: the class itself still has several jobs; splitting it is next.

--- a/packages/daemon/src/RequestCarrier.h
+++ b/packages/daemon/src/RequestCarrier.h
@@ -77,6 +77,10 @@
   void OnClaimRan(const idempotency::Outcome& aOutcome) override;
 
 private:
+  /** Bytes that wait on one side of a relay before the other is paused. */
+  static constexpr std::size_t kMaxRelayBytes = std::size_t{ 256 } * 1024;
+  static constexpr std::chrono::seconds kRetryAfter{ 1 };
+
   enum class Dispatched
   {
     Started,
--- /dev/null
+++ b/packages/daemon/src/RequestCarrierAnswer.cpp
@@ -0,0 +1,154 @@
+// How a request is answered and its claim settled.
+
+#include "daemon/src/RequestCarrier.h"
+
+#include "daemon/src/ServiceRuntime.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnmux::daemon {
+
+void RequestCarrier::RecordOutcome(const http::ResponseHead& aHead,
+                                   const std::string& aBody,
+                                   bool aIsBodyOmitted)
+{
+  const auto type = aHead.mHeaders.Find("content-type");
+  const idempotency::StatusCode status(
+    static_cast<std::uint16_t>(aHead.mStatus));
+  mService.GetGates().mClaims.OnOutcome(
+    *mClaim,
+    idempotency::Bounded(
+      { status, aBody, std::string(type.value_or("")), aIsBodyOmitted }));
+  mClaim.reset();
+}
+
+void RequestCarrier::SettleClaim(base::WorkOutcome aOutcome)
+{
+  if (!mClaim || !mIsGranted) {
+    return;
+  }
+  if (aOutcome == base::WorkOutcome::NotRun) {
+    mService.GetGates().mClaims.OnNotStarted(*mClaim);
+  } else {
+    mService.GetGates().mClaims.OnLost(*mClaim);
+  }
+  mClaim.reset();
+}
+
+void RequestCarrier::CancelAttempts(const UpstreamAttempt* aExcept)
+{
+  const Shared& shared = mService.Context();
+  const auto attempts = mAttempts;
+  for (const auto& it : attempts) {
+    if (it.get() == aExcept) {
+      continue;
+    }
+    it->Cancel();
+    balancing::With(mService.Upstreams().Pool(), [&](auto& aPool) {
+      aPool.OnCancel(shared.mLoop.Now(), shared.mRandom, it->Id());
+    });
+    EndAttempt(*it, "cancelled");
+  }
+}
+
+void RequestCarrier::EndAttempt(UpstreamAttempt& aAttempt, const char* aResult,
+                                TicketEnd aEnd)
+{
+  AddSpan("attempt", aAttempt.StartTime(), TargetText(aAttempt.Target()),
+          aResult);
+  const auto ticket = mTickets.find(aAttempt.Id());
+  if (ticket != mTickets.end()) {
+    mService.GetGates().mSpill.Return(mPlan.mService, ticket->second, aEnd);
+    mTickets.erase(ticket);
+  }
+  if (mCommitted == &aAttempt) {
+    mCommitted = nullptr;
+  }
+  const auto isSame = [&](const auto& aIt) { return aIt.get() == &aAttempt; };
+  mAttempts.erase(std::remove_if(mAttempts.begin(), mAttempts.end(), isSame),
+                  mAttempts.end());
+}
+
+http::ResponseHead RequestCarrier::RelayedHead(const http::ResponseHead& aHead,
+                                               base::WorkOutcome aOutcome) const
+{
+  http::ResponseHead head = aHead;
+  head.mHeaders.Remove("upstream-load");
+  head.mHeaders.Remove("upstream-state");
+  head.mHeaders.Set("work-outcome", OutcomeText(aOutcome));
+  return head;
+}
+
+void RequestCarrier::RelayResponse(const http::ResponseHead& aHead,
+                                   const std::string& aBody,
+                                   base::WorkOutcome aOutcome)
+{
+  if (mIsAnswered || mExchange->IsClosed()) {
+    return;
+  }
+  http::ResponseHead head = RelayedHead(aHead, aOutcome);
+  if (mExchange->Head().mMethod != "HEAD") {
+    head.mContentLength = base::ByteCount(aBody.size());
+  }
+  mExchange->SendHead(head);
+  mExchange->SendBody(aBody);
+  mExchange->Finish();
+}
+
+void RequestCarrier::Refuse(const Refusal& aRefusal)
+{
+  if (mIsFinished) {
+    return;
+  }
+  SettleClaim(aRefusal.mOutcome);
+  CancelAttempts(nullptr);
+  if (!mIsAnswered && !mExchange->IsClosed()) {
+    SendRefusal(*mExchange, aRefusal);
+  }
+  Finish(OutcomeText(aRefusal.mOutcome));
+}
+
+void RequestCarrier::Finish(const std::string& aResult)
+{
+  if (std::exchange(mIsFinished, true)) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (std::exchange(mIsQueued, false)) {
+    mService.RemoveFromQueue(mId);
+  }
+  if (mAdmittedSender) {
+    mService.GetGates().mSpill.OnAdmittedEnd(mPlan.mService, *mAdmittedSender);
+  }
+  const Shared& shared = mService.Context();
+  const telemetry::Labels labels = { { "service", mPlan.mService.Text() },
+                                     { "class",
+                                       config::WorkClassName(mPlan.mClass) },
+                                     { "result", aResult } };
+  const base::TimePoint now = shared.mLoop.Now();
+  shared.mMetrics.Count("auburnmux_requests_total", labels);
+  shared.mMetrics.Observe("auburnmux_request_seconds", labels, now,
+                          now - mPlan.mArrival);
+  AddSpan("answer", mPlan.mArrival, "", aResult);
+  mService.OnFinished(mId);
+}
+
+void RequestCarrier::AddSpan(const char* aName, base::TimePoint aStart,
+                             const std::string& aTarget,
+                             const std::string& aResult)
+{
+  const Shared& shared = mService.Context();
+  telemetry::Span span;
+  span.mContext = mPlan.mTrace;
+  span.mParent = mPlan.mParentSpan;
+  span.mName = aName;
+  span.mService = mPlan.mService.Text();
+  span.mTarget = aTarget;
+  span.mStart = aStart;
+  span.mDuration = shared.mLoop.Now() - aStart;
+  span.mResult = aResult;
+  shared.mSpans.Add(std::move(span));
+}
+
+} // namespace auburnmux::daemon
