Name host states in one place and drop unused members

Cause: reading the whole change again, AdminPages.cpp and ClusterNode.cpp each had the same function for the name of a host's state, and two members of ClaimService had no caller. Change: HostStateName() beside ClusterNode serves both; the members are gone. Behaviour is unchanged.

--- a/packages/daemon/src/AdminPages.cpp
+++ b/packages/daemon/src/AdminPages.cpp
@@ -10,21 +10,6 @@
 
 using nlohmann::json;
 
-const char* StateText(membership::HostState aState)
-{
-  switch (aState) {
-    case membership::HostState::Alive:
-      return "alive";
-    case membership::HostState::Suspect:
-      return "suspect";
-    case membership::HostState::Leaving:
-      return "leaving";
-    case membership::HostState::Dead:
-      return "dead";
-  }
-  return "unknown";
-}
-
 const char* UpstreamText(const balancing::UpstreamStatus& aStatus)
 {
   if (aStatus.mLeaving) {
@@ -161,7 +146,7 @@
   json peers = json::array();
   for (const membership::HostView& it : mSources.mCluster.View()) {
     peers.push_back({ { "host", it.mHost.mId.Text() },
-                      { "state", StateText(it.mState) },
+                      { "state", HostStateName(it.mState) },
                       { "data_centre", it.mHost.mDataCentre.Text() } });
   }
   json services = json::array();
--- a/packages/daemon/src/ClaimService.h
+++ b/packages/daemon/src/ClaimService.h
@@ -37,10 +37,6 @@
   void OnLost(idempotency::AttemptNumber aAttempt) override;
   void OnNotStarted(idempotency::AttemptNumber aAttempt) override;
 
-  /** \returns attempts that are not settled. */
-  std::size_t OpenAttempts() const { return mClient.OpenCount(); }
-  std::size_t LogCount() const { return mLogs.size(); }
-
 private:
   struct Log
   {
--- a/packages/daemon/src/ClusterNode.cpp
+++ b/packages/daemon/src/ClusterNode.cpp
@@ -21,21 +21,6 @@
   return settings;
 }
 
-const char* StateText(membership::HostState aState)
-{
-  switch (aState) {
-    case membership::HostState::Alive:
-      return "alive";
-    case membership::HostState::Suspect:
-      return "suspect";
-    case membership::HostState::Leaving:
-      return "leaving";
-    case membership::HostState::Dead:
-      return "dead";
-  }
-  return "unknown";
-}
-
 /** \returns whether the beat speaks for the host that sent the message. */
 bool IsFrom(const membership::Beat& aBeat, const protocol::Envelope& aEnvelope)
 {
@@ -51,6 +36,21 @@
 
 } // namespace
 
+const char* HostStateName(membership::HostState aState)
+{
+  switch (aState) {
+    case membership::HostState::Alive:
+      return "alive";
+    case membership::HostState::Suspect:
+      return "suspect";
+    case membership::HostState::Leaving:
+      return "leaving";
+    case membership::HostState::Dead:
+      return "dead";
+  }
+  return "unknown";
+}
+
 struct ClusterNode::ActionVisitor
 {
   ClusterNode& mNode;
@@ -68,7 +68,7 @@
   {
     base::LogLine line("host_changed");
     line.With("host", aAction.mHost.mId)
-      .With("state", StateText(aAction.mState))
+      .With("state", HostStateName(aAction.mState))
       .With("incarnation", aAction.mHost.mIncarnation);
     for (const base::HostId& it : aAction.mConfirmedBy) {
       line.With("confirmed_by", it);
@@ -83,8 +83,9 @@
           .With("reason", "a newer process uses this host's id"));
       mNode.mShared.mLoop.Stop();
     }
-    mNode.mShared.mMetrics.Count("auburnmux_host_changes_total",
-                                 { { "state", StateText(aAction.mState) } });
+    mNode.mShared.mMetrics.Count(
+      "auburnmux_host_changes_total",
+      { { "state", HostStateName(aAction.mState) } });
   }
   void operator()(const membership::ConfigAnnounced& aAction) const
   {
--- a/packages/daemon/src/ClusterNode.h
+++ b/packages/daemon/src/ClusterNode.h
@@ -12,6 +12,9 @@
 
 namespace auburnmux::daemon {
 
+/** \returns the state as it stands in logs and status pages, e.g. "alive". */
+const char* HostStateName(membership::HostState aState);
+
 /** Runs the membership protocol of this host. */
 class ClusterNode
 {
