Replace libwebsockets' HTTP roles by Beast's parsers over raw sockets

Change: the loop stays libwebsockets'; sockets share one edge-triggered epoll set that it waits for. Boost.Beast's basic_parser reads messages from buffers. The faces of Server, Client and Loop stay; new are limits on head, body, header time and idle time, bodies in chunks, responses without a length, late responses of other requests, and Keep-Alive times.

--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -3,6 +3,7 @@
 #include "http/src/Loop.h"
 #include "http/src/Message.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -55,8 +56,10 @@
   virtual bool MayHaveReached() const = 0;
   /** \returns bytes given to SendBody() and not yet handed to the socket. */
   virtual base::ByteCount PendingBytes() const = 0;
-  /** Sends a part of the body. \pre the request has a content length */
+  /** Sends a part of the body. \pre the request has a body */
   virtual void SendBody(std::string_view aPart) = 0;
+  /** Ends a body that is sent in chunks; ignored for others. */
+  virtual void EndBody() = 0;
   /** Stops or resumes the arrival of body parts (back-pressure). */
   virtual void PauseReading(bool aIsPaused) = 0;
   /** Closes the connection; no event follows. */
@@ -73,12 +76,38 @@
   Headers mHeaders;
   /** Length of the body, which SendBody() sends; unset for none. */
   std::optional<base::ByteCount> mContentLength;
+  /** Sends the body in chunks until EndBody(). \pre no content length */
+  bool mIsChunked = false;
   /**
    * Uses a connection of its own. A kept connection may be closed by the
    * other side just as the request is sent, which leaves its outcome unknown.
    */
   bool mNeedsFreshConnection = false;
+  /** Kept connections that were idle for longer aren't used. */
+  base::Duration mMaxIdle = std::chrono::hours(1);
   base::Duration mConnectTimeout = std::chrono::seconds(2);
+  /**
+   * Tells whether a response belongs to this request. Others, which an
+   * upstream may send late, are read and dropped. Unset accepts any.
+   */
+  std::function<bool(const ResponseHead&)> mIsOwnResponse;
+};
+
+/** How a Client treats its connections. */
+struct ClientOptions
+{
+  /** Address that connections come from; empty for any. */
+  std::string mSource;
+  base::ByteCount mMaxResponseHead{ 65536 };
+  /** Idle connections are closed after this time at the latest. */
+  base::Duration mMaxIdle = std::chrono::seconds(4);
+  /** Time before the end that a Keep-Alive field states at which an idle
+   * connection is closed. */
+  base::Duration mKeepAliveMargin = std::chrono::seconds(1);
+  /** Longest time that sent data may stay unacknowledged. */
+  base::Duration mUnacknowledged = std::chrono::seconds(10);
+  /** Silence after which the other side's kernel is probed. */
+  base::Duration mProbeAfter = std::chrono::seconds(10);
 };
 
 /**
@@ -90,6 +119,7 @@
 public:
   /** \param aSource address that connections come from; empty for any. */
   explicit Client(Loop& aLoop, std::string aSource = {});
+  Client(Loop& aLoop, ClientOptions aOptions);
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
@@ -101,6 +131,11 @@
   std::shared_ptr<ClientExchange> Send(
     const ClientRequest& aRequest, std::shared_ptr<ResponseObserver> aObserver);
 
+  /** Closes the idle connections to \a aEndpoint. */
+  void CloseIdle(const Endpoint& aEndpoint);
+  /** \returns connections opened since the start. */
+  std::uint64_t OpenedConnections() const;
+
 private:
   struct Impl;
   std::unique_ptr<Impl> mImpl;
--- a/packages/http/src/ClientConnection.h
+++ b/packages/http/src/ClientConnection.h
@@ -1,83 +1,138 @@
 #pragma once
 
 #include "http/src/Client.h"
+#include "http/src/MessageReader.h"
+#include "http/src/TcpStream.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
-struct lws;
-
 namespace auburnmux::http::internal {
 
-/** One request of a Client on a libwebsockets connection. */
+class ClientLink;
+
+/** One request of a Client. */
 class ClientConnection final : public ClientExchange
 {
 public:
-  /** What becomes of the connection when the exchange lets go of it. */
-  enum class Release
-  {
-    Idle,
-    Closed
-  };
-  using OnRelease = std::function<void(Release)>;
-
-  ClientConnection(Loop& aLoop, const ClientRequest& aRequest,
-                   std::shared_ptr<ResponseObserver> aObserver,
-                   OnRelease aOnRelease, std::weak_ptr<const void> aOwner);
-  ~ClientConnection() override;
-  ClientConnection(const ClientConnection&) = delete;
-  ClientConnection& operator=(const ClientConnection&) = delete;
+  ClientConnection(Loop& aLoop, ClientRequest aRequest,
+                   std::shared_ptr<ResponseObserver> aObserver);
 
   bool MayHaveReached() const override { return mMayHaveReached; }
   base::ByteCount PendingBytes() const override;
   void SendBody(std::string_view aPart) override;
+  void EndBody() override;
   void PauseReading(bool aIsPaused) override;
   void Cancel() override;
 
-  /** \returns whether it was neither cancelled nor failed. */
-  bool IsWanted() const { return mObserver != nullptr; }
-  /** Binds the connection that libwebsockets made; may be null. */
-  void Attach(lws* aWsi);
-  /** Keeps the object alive until its connection is released. */
-  void KeepAlive(std::shared_ptr<ClientConnection> aSelf);
-
-  /** Drops the observer once the client is gone: nobody waits any more. */
-  void ForgetIfOrphaned();
-  int HandleHandshake(lws* aWsi, unsigned char** aPosition, std::size_t aRoom);
-  int HandleHead(lws* aWsi);
-  int HandleReadable(lws* aWsi);
+  const ClientRequest& Request() const { return mRequest; }
+  bool IsPaused() const { return mIsPaused; }
+  /** \returns whether the request was handed over to its last byte. */
+  bool IsRequestComplete() const { return mIsRequestComplete; }
+
+  void Attach(std::shared_ptr<ClientLink> aLink);
+  void HandleSent() { mMayHaveReached = true; }
+  void HandleHead(const ResponseHead& aHead);
   void HandleBody(std::string_view aPart);
-  int HandleWritable(lws* aWsi);
-  /** \returns -1 when the connection can't carry another request. */
-  int HandleCompleted(lws* aWsi);
-  void HandleBroken();
+  void HandleWritable();
+  void HandleEnd();
+  void HandleFailure(FailureKind aKind);
+  /** Drops the observer: nobody waits any more. */
+  void Forget();
 
 private:
+  Loop& mLoop;
+  ClientRequest mRequest;
+  std::shared_ptr<ResponseObserver> mObserver;
+  std::shared_ptr<ClientLink> mLink;
+  std::uint64_t mUnsentBody = 0;
+  bool mIsRequestComplete = false;
+  bool mMayHaveReached = false;
+  bool mIsPaused = false;
+};
+
+/** A connection of a Client: carries one exchange after the other. */
+class ClientLink final
+  : public SocketWatcher
+  , public BodySink
+  , public std::enable_shared_from_this<ClientLink>
+{
+public:
+  /** What a link needs of its client. */
+  class Owner
+  {
+  public:
+    virtual ~Owner() = default;
+    /** The link is idle and may carry another request. */
+    virtual void OnIdle(const std::shared_ptr<ClientLink>& aLink) = 0;
+    /** The link's socket is closed. */
+    virtual void OnLinkClosed(const ClientLink& aLink) = 0;
+  };
+
+  ClientLink(Loop& aLoop, Owner& aOwner, Endpoint aEndpoint,
+             const ClientOptions& aOptions);
+  ~ClientLink() override;
+  ClientLink(const ClientLink&) = delete;
+  ClientLink& operator=(const ClientLink&) = delete;
+
+  const Endpoint& To() const { return mEndpoint; }
+  /** Begins to connect. \returns whether the attempt is under way. */
+  bool Connect(base::Duration aTimeout);
+  /** Sends \a aExchange's request. \pre no exchange is on the link */
+  void Start(const std::shared_ptr<ClientConnection>& aExchange);
+  /** \returns whether another request may still be sent at \a aNow. */
+  bool IsUsable(base::TimePoint aNow, base::Duration aMaxIdle) const;
+  /** Closes the connection. \returns the exchange that was on it, if any. */
+  std::shared_ptr<ClientConnection> Close();
+
+  void OnReady(SocketReadiness aReadiness) override;
+  void OnBodyPart(std::string_view aPart) override;
+
+  // For the exchange.
+  void Queue(std::string_view aBytes) { mStream.Queue(aBytes); }
+  std::size_t Pending() const { return mStream.Pending(); }
+  void FlushSoon();
+  void ReadSoon();
+
+private:
+  void HandleConnected();
+  void FlushNow();
+  void Process();
+  bool MayParse() const;
+  void ReadInput();
+  /** \returns whether any input was used. */
+  bool ParseInput();
+  void BeginResponse();
+  void HandleHead();
+  void HandleEnd();
+  void CompleteResponse();
   void Fail(FailureKind aKind);
-  void FailLater(FailureKind aKind);
-  void ReleaseConnection(Release aRelease);
   void StopConnectTimer();
-  void CloseConnection();
 
   Loop& mLoop;
-  ClientRequest mRequest;
-  std::shared_ptr<ResponseObserver> mObserver;
-  OnRelease mOnRelease;
-  std::weak_ptr<const void> mOwner;
-  std::shared_ptr<ClientConnection> mSelf;
-  lws* mWsi = nullptr;
+  Owner& mOwner;
+  Endpoint mEndpoint;
+  ClientOptions mOptions;
+  TcpStream mStream;
   std::optional<Loop::TimerId> mConnectTimer;
-  std::string mOut;
-  std::size_t mOutStart;
-  std::size_t mUnsentBody = 0;
-  std::optional<std::size_t> mBodyLeft;
-  bool mIsStarting = true;
-  bool mMayHaveReached = false;
+  std::shared_ptr<ClientConnection> mExchange;
+  std::unique_ptr<ResponseReader> mReader;
+  std::string mIn;
+  std::size_t mInStart = 0;
+  base::TimePoint mIdleSince;
+  base::Duration mIdleLimit;
+  bool mIsConnected = false;
+  bool mIsInterim = false;
+  bool mIsForeign = false;
   bool mHasHead = false;
-  bool mIsPaused = false;
+  // Whether a response of another request came; more may follow.
+  bool mIsSuspect = false;
   bool mHasUnread = false;
+  bool mIsFlushPosted = false;
+  bool mIsReadPosted = false;
 };
 
 } // namespace auburnmux::http::internal
--- a/packages/http/src/Loop.cpp
+++ b/packages/http/src/Loop.cpp
@@ -1,15 +1,17 @@
 #include "http/src/Loop.h"
 
-#include "http/src/Internal.h"
 #include "http/src/TimerQueue.h"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 #include <chrono>
 #include <libwebsockets.h>
+#include <sys/epoll.h>
 #include <sys/timerfd.h>
 #include <unistd.h>
 #include <unordered_map>
+#include <vector>
 
 namespace auburnmux::http {
 
@@ -21,6 +23,13 @@
   lws* mWsi = nullptr;
 };
 
+/** A watched socket; the generation tells late events of a reused number. */
+struct ObservedSocket
+{
+  SocketWatcher* mWatcher = nullptr;
+  std::uint32_t mGeneration = 0;
+};
+
 } // namespace internal
 
 struct Loop::Impl
@@ -36,15 +45,21 @@
   // without a pause; a timer descriptor wakes up on time.
   int mTimerDescriptor = -1;
   std::optional<base::TimePoint> mArmed;
+  int mEpoll = -1;
+  std::uint32_t mLastGeneration = 0;
+  std::unordered_map<int, internal::ObservedSocket> mSockets;
+  std::vector<Task> mPosted;
 
   void Arm();
+  void OnSockets();
+  void RunPosted();
   void OnTimer(base::TimePoint aNow);
 };
 
 namespace {
 
-constexpr unsigned kMaxHeaderBytes = 16384;
-constexpr unsigned short kMaxHeaderBlocks = 8192;
+// Sockets served in one turn, so that timers get theirs in between.
+constexpr std::size_t kTurnSockets = 128;
 
 int OnWatchEvent(lws* aWsi, lws_callback_reasons aReason, void* /*aUser*/,
                  void* /*aIn*/, std::size_t /*aLength*/)
@@ -93,6 +108,37 @@
   Arm();
 }
 
+void Loop::Impl::OnSockets()
+{
+  std::array<epoll_event, kTurnSockets> events{};
+  const int n =
+    epoll_wait(mEpoll, events.data(), static_cast<int>(events.size()), 0);
+  for (int i = 0; i < n; ++i) {
+    const epoll_event& event = events[static_cast<std::size_t>(i)];
+    const auto it = mSockets.find(static_cast<int>(event.data.u64 >> 32U));
+    // An earlier event of this turn may have released the socket.
+    if (it == mSockets.end() ||
+        it->second.mGeneration != static_cast<std::uint32_t>(event.data.u64)) {
+      continue;
+    }
+    SocketReadiness ready;
+    ready.mIsHungUp = (event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+    ready.mIsReadable = (event.events & EPOLLIN) != 0 || ready.mIsHungUp;
+    ready.mIsWritable = (event.events & EPOLLOUT) != 0;
+    it->second.mWatcher->OnReady(ready);
+  }
+}
+
+void Loop::Impl::RunPosted()
+{
+  while (!mPosted.empty()) {
+    const std::vector<Task> tasks = std::exchange(mPosted, {});
+    for (const Task& it : tasks) {
+      it();
+    }
+  }
+}
+
 Loop::Loop()
   : mImpl(std::make_unique<Impl>())
 {
@@ -104,9 +150,6 @@
   info.port = CONTEXT_PORT_NO_LISTEN;
   info.gid = static_cast<gid_t>(-1);
   info.uid = static_cast<uid_t>(-1);
-  info.max_http_header_data2 = kMaxHeaderBytes;
-  info.max_http_header_pool = kMaxHeaderBlocks;
-  info.pt_serv_buf_size = internal::kTurnBytes;
   mImpl->mContext = lws_create_context(&info);
   assert(mImpl->mContext != nullptr);
 
@@ -122,6 +165,9 @@
     timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
   assert(mImpl->mTimerDescriptor >= 0);
   Watch(mImpl->mTimerDescriptor, [this] { mImpl->OnTimer(Now()); });
+  mImpl->mEpoll = epoll_create1(EPOLL_CLOEXEC);
+  assert(mImpl->mEpoll >= 0);
+  Watch(mImpl->mEpoll, [this] { mImpl->OnSockets(); });
 }
 
 Loop::~Loop()
@@ -131,6 +177,7 @@
   }
   lws_context_destroy(mImpl->mContext);
   close(mImpl->mTimerDescriptor);
+  close(mImpl->mEpoll);
 }
 
 base::TimePoint Loop::Now() const
@@ -167,6 +214,28 @@
   mImpl->mTimers.Remove(aTimer);
 }
 
+void Loop::Post(Task aTask)
+{
+  mImpl->mPosted.push_back(std::move(aTask));
+}
+
+void Loop::Observe(int aSocket, SocketWatcher& aWatcher)
+{
+  const std::uint32_t generation = ++mImpl->mLastGeneration;
+  mImpl->mSockets[aSocket] = { &aWatcher, generation };
+  epoll_event event{};
+  event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  event.data.u64 = (static_cast<std::uint64_t>(aSocket) << 32U) | generation;
+  epoll_ctl(mImpl->mEpoll, EPOLL_CTL_ADD, aSocket, &event);
+}
+
+void Loop::Release(int aSocket)
+{
+  if (mImpl->mSockets.erase(aSocket) > 0) {
+    epoll_ctl(mImpl->mEpoll, EPOLL_CTL_DEL, aSocket, nullptr);
+  }
+}
+
 Loop::WatchId Loop::Watch(int aDescriptor, Task aTask)
 {
   auto watcher = std::make_unique<internal::Watcher>();
@@ -204,7 +273,9 @@
 
 void Loop::RunOnce()
 {
+  mImpl->RunPosted();
   lws_service(mImpl->mContext, 0);
+  mImpl->RunPosted();
 }
 
 void Loop::Stop()
@@ -213,9 +284,4 @@
   lws_cancel_service(mImpl->mContext);
 }
 
-lws_context* Loop::Context() const
-{
-  return mImpl->mContext;
-}
-
 } // namespace auburnmux::http
--- a/packages/http/src/Loop.h
+++ b/packages/http/src/Loop.h
@@ -5,15 +5,30 @@
 #include <functional>
 #include <memory>
 
-struct lws_context;
-struct lws_vhost;
-
 namespace auburnmux::http {
 
+/** What happened on a socket since the last call. */
+struct SocketReadiness
+{
+  bool mIsReadable = false;
+  bool mIsWritable = false;
+  /** The other side closed its end, or the connection broke. */
+  bool mIsHungUp = false;
+};
+
+/** Receives the readiness of a socket that a Loop watches. */
+class SocketWatcher
+{
+public:
+  virtual ~SocketWatcher() = default;
+  virtual void OnReady(SocketReadiness aReadiness) = 0;
+};
+
 /**
  * The one event loop of a process, on one thread: timers, foreign descriptors
- * and all libwebsockets connections. No member may be called from another
- * thread.
+ * and sockets. libwebsockets waits for the few descriptors of the loop itself;
+ * sockets share one epoll set, so that a turn costs the same with thousands of
+ * them. No member may be called from another thread.
  */
 class Loop
 {
@@ -40,6 +55,17 @@
   /** Drops a timer; unknown and past ids are ignored. */
   void Cancel(TimerId aTimer);
 
+  /** Runs \a aTask once, after the events that are being served. */
+  void Post(Task aTask);
+
+  /**
+   * Reports each change of readiness of \a aSocket once (edge-triggered) to
+   * \a aWatcher, until Release(). The socket stays the caller's.
+   */
+  void Observe(int aSocket, SocketWatcher& aWatcher);
+  /** Ends Observe(). To be called before the socket is closed. */
+  void Release(int aSocket);
+
   /**
    * Runs \a aTask whenever \a aDescriptor is readable. The descriptor stays
    * the caller's, who must keep it open until Unwatch().
@@ -53,8 +79,6 @@
   void RunOnce();
   void Stop();
 
-  lws_context* Context() const;
-
   /** Shared with the callbacks of libwebsockets. */
   struct Impl;
 
--- a/packages/http/src/Message.cpp
+++ b/packages/http/src/Message.cpp
@@ -2,6 +2,7 @@
 
 #include <cctype>
 #include <cstdlib>
+#include <string_view>
 
 namespace auburnmux::http {
 
@@ -28,6 +29,22 @@
 
 } // namespace
 
+std::string EncodeQueryValue(const std::string& aText)
+{
+  constexpr char kDigits[] = "0123456789ABCDEF";
+  constexpr std::string_view kAllowed = "-._~";
+  std::string out;
+  for (const char it : aText) {
+    const auto byte = static_cast<unsigned char>(it);
+    if (std::isalnum(byte) != 0 || kAllowed.find(it) != kAllowed.npos) {
+      out += it;
+    } else {
+      out += { '%', kDigits[byte >> 4U], kDigits[byte & 15U] };
+    }
+  }
+  return out;
+}
+
 std::optional<std::string> QueryValue(const std::string& aQuery,
                                       const std::string& aKey)
 {
--- a/packages/http/src/Message.h
+++ b/packages/http/src/Message.h
@@ -33,8 +33,10 @@
   /** The part after '?', without it. */
   std::string mQuery;
   Headers mHeaders;
-  /** Length of the body; unset for a request without a body. */
+  /** Length of the body; unset when it is sent in chunks or absent. */
   std::optional<base::ByteCount> mContentLength;
+  /** Whether the body is sent in chunks. */
+  bool mIsChunked = false;
   /** IP number of the caller; set on requests that a server received. */
   std::string mClientAddress;
 };
@@ -48,6 +50,9 @@
   std::optional<base::ByteCount> mContentLength;
 };
 
+/** \returns \a aText as it may stand as a value in a query string. */
+std::string EncodeQueryValue(const std::string& aText);
+
 /** \returns the value of \a aKey in the query string \a aQuery, decoded. */
 std::optional<std::string> QueryValue(const std::string& aQuery,
                                       const std::string& aKey);
--- /dev/null
+++ b/packages/http/src/MessageReader.cpp
@@ -0,0 +1,215 @@
+#include "http/src/MessageReader.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <cctype>
+#include <limits>
+
+namespace auburnmux::http::internal {
+
+namespace {
+
+namespace beast = boost::beast;
+using beast::http::basic_parser;
+using ErrorCode = beast::error_code;
+
+std::string ToLower(beast::string_view aText)
+{
+  std::string out(aText.data(), aText.size());
+  std::transform(out.begin(), out.end(), out.begin(), [](unsigned char aChar) {
+    return static_cast<char>(std::tolower(aChar));
+  });
+  return out;
+}
+
+/** Collects the fields and hands on the body of one message. */
+template<bool IsRequest>
+class CollectingParser : public basic_parser<IsRequest>
+{
+public:
+  explicit CollectingParser(base::ByteCount aMaxHead)
+  {
+    this->header_limit(static_cast<std::uint32_t>(std::min<std::uint64_t>(
+      aMaxHead.Count(), std::numeric_limits<std::uint32_t>::max())));
+    this->body_limit(boost::none); // the owner counts
+  }
+
+  ReadStep Advance(std::string_view aBytes, BodySink& aSink)
+  {
+    mSink = &aSink;
+    const bool hadHead = this->is_header_done();
+    this->eager(hadHead);
+    ErrorCode error;
+    ReadStep step;
+    if (!this->is_done()) {
+      step.mConsumed =
+        this->put(boost::asio::buffer(aBytes.data(), aBytes.size()), error);
+    }
+    step.mState = StateAfter(error, hadHead);
+    return step;
+  }
+
+  ReadState End()
+  {
+    ErrorCode error;
+    this->put_eof(error);
+    return error || !this->is_done() ? ReadState::Malformed
+                                     : ReadState::Complete;
+  }
+
+  std::optional<base::ByteCount> Length() const
+  {
+    const auto n = this->content_length();
+    return n ? std::optional(base::ByteCount(*n)) : std::nullopt;
+  }
+
+  int mStatus = 0;
+  std::string mMethod;
+  std::string mTarget;
+  Headers mHeaders;
+
+private:
+  ReadState StateAfter(const ErrorCode& aError, bool aHadHead) const
+  {
+    if (aError == beast::http::error::header_limit) {
+      return ReadState::HeadTooLong;
+    }
+    if (aError && aError != beast::http::error::need_more) {
+      return ReadState::Malformed;
+    }
+    if (!aHadHead && this->is_header_done()) {
+      return ReadState::HeadDone;
+    }
+    return this->is_done() ? ReadState::Complete : ReadState::NeedsMore;
+  }
+
+  // Names below are Beast's. NOLINTBEGIN(readability-identifier-naming)
+  void on_request_impl(beast::http::verb /*aVerb*/, beast::string_view aMethod,
+                       beast::string_view aTarget, int /*aVersion*/,
+                       ErrorCode& /*aError*/) override
+  {
+    mMethod.assign(aMethod.data(), aMethod.size());
+    mTarget.assign(aTarget.data(), aTarget.size());
+  }
+  void on_response_impl(int aCode, beast::string_view /*aReason*/,
+                        int /*aVersion*/, ErrorCode& /*aError*/) override
+  {
+    mStatus = aCode;
+  }
+  void on_field_impl(beast::http::field /*aField*/, beast::string_view aName,
+                     beast::string_view aValue, ErrorCode& /*aError*/) override
+  {
+    mHeaders.Append(ToLower(aName), { aValue.data(), aValue.size() });
+  }
+  void on_header_impl(ErrorCode& /*aError*/) override {}
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*aLength*/,
+                         ErrorCode& /*aError*/) override
+  {
+  }
+  std::size_t on_body_impl(beast::string_view aBody,
+                           ErrorCode& /*aError*/) override
+  {
+    mSink->OnBodyPart({ aBody.data(), aBody.size() });
+    return aBody.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*aSize*/,
+                            beast::string_view /*aExtensions*/,
+                            ErrorCode& /*aError*/) override
+  {
+  }
+  std::size_t on_chunk_body_impl(std::uint64_t /*aRemain*/,
+                                 beast::string_view aBody,
+                                 ErrorCode& aError) override
+  {
+    return on_body_impl(aBody, aError);
+  }
+  void on_finish_impl(ErrorCode& /*aError*/) override {}
+  // NOLINTEND(readability-identifier-naming)
+
+  BodySink* mSink = nullptr;
+};
+
+} // namespace
+
+struct RequestReader::Impl : CollectingParser<true>
+{
+  using CollectingParser::CollectingParser;
+};
+
+RequestReader::RequestReader(base::ByteCount aMaxHead)
+  : mImpl(std::make_unique<Impl>(aMaxHead))
+{
+}
+
+RequestReader::~RequestReader() = default;
+
+ReadStep RequestReader::Read(std::string_view aBytes, BodySink& aSink)
+{
+  return mImpl->Advance(aBytes, aSink);
+}
+
+RequestHead RequestReader::TakeHead()
+{
+  RequestHead head;
+  head.mMethod = std::move(mImpl->mMethod);
+  const std::size_t n = mImpl->mTarget.find('?');
+  head.mPath = mImpl->mTarget.substr(0, n);
+  if (n != std::string::npos) {
+    head.mQuery = mImpl->mTarget.substr(n + 1);
+  }
+  head.mHeaders = std::move(mImpl->mHeaders);
+  head.mIsChunked = mImpl->chunked();
+  head.mContentLength = mImpl->Length();
+  return head;
+}
+
+bool RequestReader::KeepsAlive() const
+{
+  return mImpl->keep_alive();
+}
+
+struct ResponseReader::Impl : CollectingParser<false>
+{
+  using CollectingParser::CollectingParser;
+};
+
+ResponseReader::ResponseReader(base::ByteCount aMaxHead, bool aHasNoBody)
+  : mImpl(std::make_unique<Impl>(aMaxHead))
+{
+  mImpl->skip(aHasNoBody);
+}
+
+ResponseReader::~ResponseReader() = default;
+
+ReadStep ResponseReader::Read(std::string_view aBytes, BodySink& aSink)
+{
+  return mImpl->Advance(aBytes, aSink);
+}
+
+ReadState ResponseReader::ReadEnd()
+{
+  return mImpl->End();
+}
+
+ResponseHead ResponseReader::TakeHead()
+{
+  ResponseHead head;
+  head.mStatus = mImpl->mStatus;
+  head.mHeaders = std::move(mImpl->mHeaders);
+  head.mContentLength = mImpl->Length();
+  return head;
+}
+
+bool ResponseReader::EndsWithConnection() const
+{
+  return mImpl->need_eof();
+}
+
+bool ResponseReader::KeepsAlive() const
+{
+  return mImpl->keep_alive();
+}
+
+} // namespace auburnmux::http::internal
--- a/packages/http/src/Server.h
+++ b/packages/http/src/Server.h
@@ -8,10 +8,19 @@
 #include <string>
 #include <string_view>
 
-struct lws;
-
 namespace auburnmux::http {
 
+/** What callers of a Server may send, and how slowly. */
+struct ServerLimits
+{
+  base::ByteCount mMaxHead{ 16384 };
+  base::ByteCount mMaxBody{ std::uint64_t{ 1 } << 40U };
+  /** Longest time from the first byte of a head to its last. */
+  base::Duration mHeadTimeout = std::chrono::seconds(10);
+  /** Longest time between two requests on a connection. */
+  base::Duration mIdleTimeout = std::chrono::seconds(60);
+};
+
 /** Receives the events of one request; a ServerExchange owns it. */
 class RequestObserver
 {
@@ -98,11 +107,15 @@
    * `Connection: close`.
    */
   void CloseAfterResponses();
-
-  /** Shared with the callbacks of libwebsockets. */
-  struct Impl;
+  /** Closes the connections on which no request is open. */
+  void CloseIdle();
+  /** Refuses connections from now on. */
+  void StopListening();
+  /** Applies to requests that begin from now on. */
+  void SetLimits(const ServerLimits& aLimits);
 
 private:
+  struct Impl;
   std::unique_ptr<Impl> mImpl;
 };
 
--- /dev/null
+++ b/packages/http/src/TcpStream.cpp
@@ -0,0 +1,159 @@
+#include "http/src/TcpStream.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace auburnmux::http::internal {
+
+namespace {
+
+// Capacity that an idle connection may keep of its send buffer.
+constexpr std::size_t kKeptCapacity = 4096;
+
+constexpr int kProbeCount = 3;
+
+std::optional<sockaddr_in> ToSocketAddress(const std::string& aAddress,
+                                           std::uint16_t aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
+  if (inet_pton(AF_INET, aAddress.c_str(), &address.sin_addr) != 1) {
+    return std::nullopt;
+  }
+  return address;
+}
+
+void SetOption(int aDescriptor, int aLevel, int aName, int aValue)
+{
+  setsockopt(aDescriptor, aLevel, aName, &aValue, sizeof aValue);
+}
+
+void SetSilenceLimits(int aDescriptor, const SilenceLimits& aLimits)
+{
+  using std::chrono::duration_cast;
+  const auto unacknowledged =
+    duration_cast<std::chrono::milliseconds>(aLimits.mUnacknowledged).count();
+  const auto idle = std::max<std::chrono::seconds::rep>(
+    duration_cast<std::chrono::seconds>(aLimits.mProbeAfter).count(), 1);
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(unacknowledged));
+  SetOption(aDescriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(idle));
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPCNT, kProbeCount);
+}
+
+} // namespace
+
+TcpStream::TcpStream(Loop& aLoop, SocketWatcher& aWatcher)
+  : mLoop(aLoop)
+  , mWatcher(aWatcher)
+{
+}
+
+TcpStream::~TcpStream()
+{
+  Close();
+}
+
+void TcpStream::Adopt(int aDescriptor)
+{
+  mDescriptor = aDescriptor;
+  mLoop.Observe(mDescriptor, mWatcher);
+}
+
+bool TcpStream::Connect(const Endpoint& aTo, const std::string& aSource,
+                        const SilenceLimits& aLimits)
+{
+  const auto to = ToSocketAddress(aTo.mAddress, aTo.mPort.Count());
+  const auto from = ToSocketAddress(aSource.empty() ? "0.0.0.0" : aSource, 0);
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0 || !to || !from) {
+    if (fd >= 0) {
+      close(fd);
+    }
+    return false;
+  }
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetSilenceLimits(fd, aLimits);
+  const bool isBound =
+    aSource.empty() ||
+    bind(fd, reinterpret_cast<const sockaddr*>(&*from), sizeof *from) == 0;
+  const bool isStarted =
+    isBound &&
+    (connect(fd, reinterpret_cast<const sockaddr*>(&*to), sizeof *to) == 0 ||
+     errno == EINPROGRESS);
+  if (!isStarted) {
+    close(fd);
+    return false;
+  }
+  Adopt(fd);
+  return true;
+}
+
+bool TcpStream::IsConnected() const
+{
+  int error = 0;
+  socklen_t length = sizeof error;
+  return mDescriptor >= 0 &&
+         getsockopt(mDescriptor, SOL_SOCKET, SO_ERROR, &error, &length) == 0 &&
+         error == 0;
+}
+
+TcpStream::ReadResult TcpStream::Read(std::string& aOut)
+{
+  std::array<char, kTurnBytes> buf; // NOLINT: filled by recv()
+  const ssize_t n = recv(mDescriptor, buf.data(), buf.size(), 0);
+  if (n > 0) {
+    aOut.append(buf.data(), static_cast<std::size_t>(n));
+    const bool mayHaveMore =
+      mIsHungUp || static_cast<std::size_t>(n) == buf.size();
+    return mayHaveMore ? ReadResult::Data : ReadResult::Blocked;
+  }
+  if (n == 0) {
+    return ReadResult::End;
+  }
+  const bool isBlocked = errno == EAGAIN || errno == EINTR;
+  return isBlocked ? ReadResult::Blocked : ReadResult::Broken;
+}
+
+bool TcpStream::Flush()
+{
+  while (Pending() > 0) {
+    const ssize_t n =
+      send(mDescriptor, mOut.data() + mOutStart, Pending(), MSG_NOSIGNAL);
+    if (n < 0) {
+      return errno == EAGAIN || errno == EINTR;
+    }
+    mHasSent = mHasSent || n > 0;
+    mOutStart += static_cast<std::size_t>(n);
+  }
+  mOut.clear();
+  mOutStart = 0;
+  if (mOut.capacity() > kKeptCapacity) {
+    mOut.shrink_to_fit();
+  }
+  return true;
+}
+
+void TcpStream::CloseForSending()
+{
+  shutdown(mDescriptor, SHUT_WR);
+}
+
+void TcpStream::Close()
+{
+  if (mDescriptor >= 0) {
+    mLoop.Release(mDescriptor);
+    close(mDescriptor);
+    mDescriptor = -1;
+  }
+}
+
+} // namespace auburnmux::http::internal
