--- a/apps/auburnmux/src/ExplainCommand.cpp
+++ b/apps/auburnmux/src/ExplainCommand.cpp
@@ -9,13 +9,13 @@
 namespace {
 
 /** Hosts of the data centre first, leaving ones last. */
-void SortByNearness(std::vector<platform::ListedHost>& aHosts,
+void SortByNearness(std::vector<objects::ListedHost>& aHosts,
                     const base::DataCentreId& aDataCentre)
 {
   std::stable_sort(
     aHosts.begin(), aHosts.end(),
-    [&](const platform::ListedHost& aLeft, const platform::ListedHost& aRight) {
-      const auto rank = [&](const platform::ListedHost& aHost) {
+    [&](const objects::ListedHost& aLeft, const objects::ListedHost& aRight) {
+      const auto rank = [&](const objects::ListedHost& aHost) {
         return (aHost.mDataCentre == aDataCentre ? 0 : 2) +
                (aHost.mIsLeaving ? 1 : 0);
       };
@@ -48,15 +48,15 @@
                     const Output& aOutput)
 {
   constexpr std::size_t kMaxAsked = 3;
-  platform::HostsResult result = aSession.Hosts();
-  auto* hosts = std::get_if<std::vector<platform::ListedHost>>(&result);
+  objects::HostsResult result = aSession.Hosts();
+  auto* hosts = std::get_if<std::vector<objects::ListedHost>>(&result);
   if (hosts == nullptr) {
     aOutput.mError << "explain: the platform's list of hosts can't be read\n";
     return ExitCode::Failed;
   }
   SortByNearness(*hosts, aOptions.mFrom);
   for (std::size_t it = 0; it < std::min(hosts->size(), kMaxAsked); ++it) {
-    const platform::ListedHost& host = (*hosts)[it];
+    const objects::ListedHost& host = (*hosts)[it];
     const http::FetchResult answer =
       aSession.AskHosts({ host }, TargetOf(aOptions)).front();
     if (answer.IsOk()) {
--- a/apps/auburnmux/src/InForceWait.cpp
+++ b/apps/auburnmux/src/InForceWait.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-using HostVector = std::vector<platform::ListedHost>;
+using HostVector = std::vector<objects::ListedHost>;
 
 constexpr base::Duration kPollPeriod = std::chrono::milliseconds(100);
 
@@ -45,7 +45,7 @@
 {
   InForceReport report;
   const base::TimePoint start = aSession.Now();
-  const platform::HostsResult result = aSession.Hosts();
+  const objects::HostsResult result = aSession.Hosts();
   const auto* hosts = std::get_if<HostVector>(&result);
   if (hosts == nullptr) {
     return report;
--- a/apps/auburnmux/src/PublishRun.cpp
+++ b/apps/auburnmux/src/PublishRun.cpp
@@ -4,26 +4,26 @@
 
 namespace {
 
-config::PublicationEvent EventOf(const platform::GetResult& aResult)
+config::PublicationEvent EventOf(const objects::GetResult& aResult)
 {
-  if (const auto* found = std::get_if<platform::ObjectFound>(&aResult)) {
+  if (const auto* found = std::get_if<objects::ObjectFound>(&aResult)) {
     return config::PointerFound{ found->mVersion, found->mBytes };
   }
-  if (std::holds_alternative<platform::ObjectNotFound>(aResult)) {
+  if (std::holds_alternative<objects::ObjectNotFound>(aResult)) {
     return config::PointerAbsent{};
   }
   return config::CallFailed{};
 }
 
-config::PublicationEvent EventOf(const platform::PutResult& aResult)
+config::PublicationEvent EventOf(const objects::PutResult& aResult)
 {
-  if (std::holds_alternative<platform::ObjectStored>(aResult)) {
+  if (std::holds_alternative<objects::ObjectStored>(aResult)) {
     return config::WriteDone{};
   }
-  if (std::holds_alternative<platform::ConditionFailed>(aResult)) {
+  if (std::holds_alternative<objects::ConditionFailed>(aResult)) {
     return config::WriteConflict{};
   }
-  if (std::holds_alternative<platform::CallRefused>(aResult)) {
+  if (std::holds_alternative<objects::CallRefused>(aResult)) {
     return config::CallFailed{};
   }
   return config::CallUnknown{};
@@ -41,18 +41,18 @@
   config::PublicationEvent operator()(const config::ReadPointer&) const
   {
     return EventOf(
-      mSession.Get(config::kCurrentObject, platform::CallPurpose::Publish));
+      mSession.Get(config::kCurrentObject, objects::CallPurpose::Publish));
   }
   config::PublicationEvent operator()(const config::CreateObject& aAction) const
   {
     return EventOf(
-      mSession.Put(aAction.mName, aAction.mBytes, platform::IfAbsent{}));
+      mSession.Put(aAction.mName, aAction.mBytes, objects::IfAbsent{}));
   }
   config::PublicationEvent operator()(const config::WritePointer& aAction) const
   {
-    platform::WriteCondition condition = platform::IfAbsent{};
+    objects::WriteCondition condition = objects::IfAbsent{};
     if (aAction.mIfVersion.Count() > 0) {
-      condition = platform::IfVersion{ aAction.mIfVersion };
+      condition = objects::IfVersion{ aAction.mIfVersion };
     }
     return EventOf(
       mSession.Put(config::kCurrentObject, aAction.mBytes, condition));
--- a/apps/auburnmux/src/Session.cpp
+++ b/apps/auburnmux/src/Session.cpp
@@ -15,11 +15,11 @@
 constexpr std::size_t kParallelHosts = 64;
 
 /** A tool makes a few calls in a short time, and then ends. */
-platform::CallBudget ToolBudget()
+objects::CallBudget ToolBudget()
 {
-  platform::CallRates rates;
+  objects::CallRates rates;
   rates.fill({ 50, 100 });
-  return platform::CallBudget(rates);
+  return objects::CallBudget(rates);
 }
 
 /** One round of asking all hosts. */
@@ -27,7 +27,7 @@
 {
   http::Loop& mLoop;
   http::Client& mClient;
-  const std::vector<platform::ListedHost>& mHosts;
+  const std::vector<objects::ListedHost>& mHosts;
   const std::string& mTarget;
   std::vector<http::FetchResult> mResults;
   std::size_t mStarted = 0;
@@ -66,27 +66,27 @@
 {
 }
 
-platform::GetResult Session::Get(const std::string& aName,
-                                 platform::CallPurpose aPurpose)
+objects::GetResult Session::Get(const std::string& aName,
+                                 objects::CallPurpose aPurpose)
 {
-  return Wait<platform::GetResult>([&](const auto& aDone) {
+  return Wait<objects::GetResult>([&](const auto& aDone) {
     mPlatform.Get(aName, { aPurpose, kPlatformTimeout }, aDone);
   });
 }
 
-platform::PutResult Session::Put(const std::string& aName,
+objects::PutResult Session::Put(const std::string& aName,
                                  const std::string& aBytes,
-                                 const platform::WriteCondition& aCondition)
+                                 const objects::WriteCondition& aCondition)
 {
-  return Wait<platform::PutResult>([&](const auto& aDone) {
+  return Wait<objects::PutResult>([&](const auto& aDone) {
     mPlatform.Put(aName, aBytes, aCondition,
-                  { platform::CallPurpose::Publish, kPlatformTimeout }, aDone);
+                  { objects::CallPurpose::Publish, kPlatformTimeout }, aDone);
   });
 }
 
-platform::HostsResult Session::Hosts()
+objects::HostsResult Session::Hosts()
 {
-  std::vector<platform::ListedHost> hosts;
+  std::vector<objects::ListedHost> hosts;
   for (const http::Endpoint& it : mOptions.mHosts) {
     hosts.push_back(
       { base::HostId(it.mAddress + ':' + std::to_string(it.mPort.Count())),
@@ -97,13 +97,13 @@
   if (!hosts.empty()) {
     return hosts;
   }
-  platform::HostsResult result =
-    Wait<platform::HostsResult>([&](const auto& aDone) {
-      mPlatform.Hosts({ platform::CallPurpose::HostList, kPlatformTimeout },
+  objects::HostsResult result =
+    Wait<objects::HostsResult>([&](const auto& aDone) {
+      mPlatform.Hosts({ objects::CallPurpose::HostList, kPlatformTimeout },
                       aDone);
     });
-  if (auto* list = std::get_if<std::vector<platform::ListedHost>>(&result)) {
-    for (platform::ListedHost& it : *list) {
+  if (auto* list = std::get_if<std::vector<objects::ListedHost>>(&result)) {
+    for (objects::ListedHost& it : *list) {
       if (it.mEndpoint.mPort.Count() == 0) {
         it.mEndpoint.mPort = mOptions.mHostPort;
       }
@@ -117,7 +117,7 @@
 }
 
 std::vector<http::FetchResult> Session::AskHosts(
-  const std::vector<platform::ListedHost>& aHosts, const std::string& aTarget)
+  const std::vector<objects::ListedHost>& aHosts, const std::string& aTarget)
 {
   if (aHosts.empty()) {
     return {};
@@ -139,7 +139,7 @@
 
 void Session::PauseAfterFailure(std::uint32_t aFailures)
 {
-  platform::Backoff backoff(std::chrono::milliseconds(50),
+  objects::Backoff backoff(std::chrono::milliseconds(50),
                             std::chrono::seconds(1));
   base::Duration delay{};
   for (std::uint32_t it = 0; it < aFailures; ++it) {
--- a/apps/auburnmux/src/Session.h
+++ b/apps/auburnmux/src/Session.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "auburnmux/src/CommandLine.h"
-#include "platform/Platform.h"
+#include "objects/Objects.h"
 
 #include <string>
 #include <vector>
@@ -17,15 +17,15 @@
 public:
   Session(http::Loop& aLoop, const Options& aOptions);
 
-  platform::GetResult Get(const std::string& aName,
-                          platform::CallPurpose aPurpose);
-  platform::PutResult Put(const std::string& aName, const std::string& aBytes,
-                          const platform::WriteCondition& aCondition);
+  objects::GetResult Get(const std::string& aName,
+                          objects::CallPurpose aPurpose);
+  objects::PutResult Put(const std::string& aName, const std::string& aBytes,
+                          const objects::WriteCondition& aCondition);
   /** \returns the hosts to ask: the given ones, or those listed. */
-  platform::HostsResult Hosts();
+  objects::HostsResult Hosts();
   /** Asks all hosts at once. \returns the answers in the hosts' order. */
   std::vector<http::FetchResult> AskHosts(
-    const std::vector<platform::ListedHost>& aHosts,
+    const std::vector<objects::ListedHost>& aHosts,
     const std::string& aTarget);
   /** Serves the loop for a while. */
   void Pause(base::Duration aTime);
@@ -42,7 +42,7 @@
   http::Loop& mLoop;
   const Options& mOptions;
   http::Client mHttp;
-  platform::PlatformClient mPlatform;
+  objects::PlatformClient mPlatform;
   base::Random mRandom;
 };
 
--- a/apps/auburnmux/src/SnapshotStore.cpp
+++ b/apps/auburnmux/src/SnapshotStore.cpp
@@ -7,16 +7,16 @@
 constexpr std::uint32_t kAttempts = 5;
 
 /** Reads an object, repeating calls without an answer. */
-platform::GetResult GetWithRetries(Session& aSession, const std::string& aName)
+objects::GetResult GetWithRetries(Session& aSession, const std::string& aName)
 {
-  platform::GetResult result = platform::CallUnanswered{};
+  objects::GetResult result = objects::CallUnanswered{};
   for (std::uint32_t it = 0; it < kAttempts; ++it) {
     if (it > 0) {
       aSession.PauseAfterFailure(it);
     }
-    result = aSession.Get(aName, platform::CallPurpose::ConfigRead);
-    if (std::holds_alternative<platform::ObjectFound>(result) ||
-        std::holds_alternative<platform::ObjectNotFound>(result)) {
+    result = aSession.Get(aName, objects::CallPurpose::ConfigRead);
+    if (std::holds_alternative<objects::ObjectFound>(result) ||
+        std::holds_alternative<objects::ObjectNotFound>(result)) {
       break;
     }
   }
@@ -27,12 +27,12 @@
 
 PointerRead ReadCurrent(Session& aSession)
 {
-  const platform::GetResult result =
+  const objects::GetResult result =
     GetWithRetries(aSession, config::kCurrentObject);
-  if (std::holds_alternative<platform::ObjectNotFound>(result)) {
+  if (std::holds_alternative<objects::ObjectNotFound>(result)) {
     return NothingPublished{};
   }
-  const auto* found = std::get_if<platform::ObjectFound>(&result);
+  const auto* found = std::get_if<objects::ObjectFound>(&result);
   if (found == nullptr) {
     return ReadError{ "the platform doesn't answer" };
   }
@@ -49,8 +49,8 @@
   const config::Digest& digest = aPointer.mCurrent.mTag.mDigest;
   std::string bytes;
   for (const std::string& it : config::PartNames(digest, aPointer.mParts)) {
-    const platform::GetResult result = GetWithRetries(aSession, it);
-    const auto* found = std::get_if<platform::ObjectFound>(&result);
+    const objects::GetResult result = GetWithRetries(aSession, it);
+    const auto* found = std::get_if<objects::ObjectFound>(&result);
     if (found == nullptr) {
       return ReadError{ it + " can't be read" };
     }
--- a/apps/auburnmux/src/StatusCommand.cpp
+++ b/apps/auburnmux/src/StatusCommand.cpp
@@ -13,7 +13,7 @@
 /** A listed host and what it reported, if anything. */
 struct AskedHost
 {
-  platform::ListedHost mListed;
+  objects::ListedHost mListed;
   std::optional<HostStatus> mStatus;
   std::string mBody;
 };
@@ -28,7 +28,7 @@
 };
 
 std::vector<AskedHost> AskAll(Session& aSession,
-                              const std::vector<platform::ListedHost>& aHosts)
+                              const std::vector<objects::ListedHost>& aHosts)
 {
   const auto answers = aSession.AskHosts(aHosts, "/v1/status");
   std::vector<AskedHost> asked;
@@ -140,8 +140,8 @@
 ExitCode RunStatus(const Options& aOptions, Session& aSession,
                    const Output& aOutput)
 {
-  const platform::HostsResult result = aSession.Hosts();
-  const auto* hosts = std::get_if<std::vector<platform::ListedHost>>(&result);
+  const objects::HostsResult result = aSession.Hosts();
+  const auto* hosts = std::get_if<std::vector<objects::ListedHost>>(&result);
   if (hosts == nullptr) {
     aOutput.mError << "status: the platform's list of hosts can't be read; "
                       "name hosts with --host\n";
--- a/apps/auburnmuxd/Main.cpp
+++ b/apps/auburnmuxd/Main.cpp
@@ -1,6 +1,8 @@
 #include "daemon/Daemon.h"
+#include "platform/Platform.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
@@ -12,6 +14,9 @@
 
 constexpr int kBadUsage = 2;
 
+/** Environment variable that holds the path of the platform's settings. */
+constexpr const char* kPlatformSettings = "AUBURNMUX_CONFIG";
+
 std::optional<std::string> ReadFile(const std::string& aName)
 {
   std::ifstream in(aName, std::ios::binary);
@@ -63,7 +68,10 @@
                         cxxopts::value<std::string>())(
     "without-balancing", "round robin without limits, for measurements")(
     "without-hedging", "no hedged requests, for measurements")(
-    "help", "print this text")("version", "print the version");
+    "on-platform",
+    "take the settings file from the environment, and state from the "
+    "platform's store")("help", "print this text")("version",
+                                                   "print the version");
   const auto parsed = options.parse(aArgc, aArgv);
   if (parsed.count("help") > 0) {
     std::cout << options.help();
@@ -73,6 +81,15 @@
     std::cout << "auburnmuxd 0.1.0\n";
     return 0;
   }
+  if (parsed.count("on-platform") > 0) {
+    const char* file = std::getenv(kPlatformSettings);
+    if (file == nullptr) {
+      std::cerr << "auburnmuxd: " << kPlatformSettings << " is not set\n";
+      return kBadUsage;
+    }
+    SetLogLevel(auburnmux::config::LogLevel::Info);
+    return auburnmux::platform::RunOnPlatform(file);
+  }
   if (parsed.count("settings") == 0 || !parsed.unmatched().empty()) {
     std::cerr << options.help();
     return kBadUsage;
--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -5,6 +5,24 @@
                                            -Wno-missing-field-initializers)
 endfunction()
 
+# Declares the test program test_NAME from test/*.cpp, where there are any.
+function(auburnmux_tests NAME)
+  file(GLOB TESTS CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/test/*.cpp)
+  if(TESTS AND AUBURNMUX_TESTS)
+    add_executable(test_${NAME} ${TESTS}
+                   ${CMAKE_SOURCE_DIR}/packages/base/test/support/TestMain.cpp)
+    target_include_directories(test_${NAME}
+                               PRIVATE ${CMAKE_SOURCE_DIR}/packages)
+    target_link_libraries(test_${NAME} PRIVATE ${ARGN} PkgConfig::CPPUTEST
+                                               rapidcheck)
+    auburnmux_warnings(test_${NAME})
+    add_test(NAME ${NAME} COMMAND test_${NAME})
+    set_tests_properties(
+      ${NAME} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=200"
+                         TIMEOUT 120)
+  endif()
+endfunction()
+
 # Declares the library auburnmux_NAME from src/*.cpp and, where test/*.cpp
 # exists, the test program test_NAME, which ctest runs with a fixed seed.
 #
@@ -24,19 +42,5 @@
                                INTERFACE ${CMAKE_SOURCE_DIR}/packages)
     target_link_libraries(auburnmux_${NAME} INTERFACE ${ARG_LINK})
   endif()
-  file(GLOB TESTS CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/test/*.cpp)
-  if(TESTS)
-    add_executable(test_${NAME} ${TESTS}
-                   ${CMAKE_SOURCE_DIR}/packages/base/test/support/TestMain.cpp)
-    target_include_directories(test_${NAME}
-                               PRIVATE ${CMAKE_SOURCE_DIR}/packages)
-    target_link_libraries(
-      test_${NAME} PRIVATE auburnmux_${NAME} ${ARG_TEST_LINK}
-                           PkgConfig::CPPUTEST rapidcheck)
-    auburnmux_warnings(test_${NAME})
-    add_test(NAME ${NAME} COMMAND test_${NAME})
-    set_tests_properties(
-      ${NAME} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=200"
-                         TIMEOUT 120)
-  endif()
+  auburnmux_tests(${NAME} auburnmux_${NAME} ${ARG_TEST_LINK})
 endfunction()
--- /dev/null
+++ b/packages/carriage/Carriage.h
@@ -0,0 +1,7 @@
+#pragma once
+
+#include "carriage/src/LifeAction.h"
+
+#include "carriage/src/RequestLife.h"
+
+#include "carriage/src/WindowBudget.h"
--- /dev/null
+++ b/packages/carriage/src/RequestLife.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "carriage/src/LifeAction.h"
+
+#include <variant>
+
+namespace auburnmux::carriage {
+
+/** What is promised to a request, as its route and its caller say. */
+struct RequestTerms
+{
+  /** Whether it may run more than once. */
+  bool mMayRepeat = false;
+  /** Upstreams that may run it. */
+  std::uint32_t mMaxAttempts = 1;
+};
+
+/** What a complete response of an upstream means. */
+struct ResponseMeaning
+{
+  /** The upstream says that the request did not run. */
+  bool mIsNotRun = false;
+  /** It ran and failed; another upstream may do better. */
+  bool mIsFailure = false;
+};
+
+/** Wait that is proposed to a caller when an upstream rejected its request. */
+constexpr base::Duration kRejectedRetryAfter = std::chrono::milliseconds(300);
+
+/**
+ * The life of one request at the host that read it, which is its only sender.
+ * Events go in, actions come out; exactly one of Relay, Refuse and Fail ends
+ * each life, unless the caller leaves. Refuse comes only while no upstream can
+ * have begun to run the request, and a request that may not be repeated is
+ * sent again only in that case.
+ */
+class RequestLife
+{
+public:
+  explicit RequestLife(const RequestTerms& aTerms);
+
+  /** The request was read far enough to be sent. */
+  LifeActions OnReadable();
+  /** The request is refused without a search for an upstream. */
+  LifeActions OnRefused(Reason aReason, base::Duration aRetryAfter);
+  /** Answers Seek: an upstream was found and the request goes there. */
+  void OnPlaced();
+  /** Answers Seek: there is no place for the request. */
+  LifeActions OnNoPlace(Reason aReason, base::Duration aRetryAfter);
+  /** The attempt's whole response arrived. */
+  LifeActions OnResponse(const ResponseMeaning& aMeaning);
+  /** The attempt failed. \param aMayHaveReached whether any byte of the
+   * request may have reached the upstream */
+  LifeActions OnAttemptFailed(bool aMayHaveReached);
+  /** The head of a response that is too long to be kept is relayed. */
+  void OnStreaming();
+  /** The request's time is up. */
+  LifeActions OnTimeUp();
+  LifeActions OnCallerGone();
+
+  bool IsEnded() const { return std::holds_alternative<Ended>(mPhase); }
+  /** \returns whether an upstream may have begun to run it. */
+  bool MayHaveRun() const { return mMayHaveRun; }
+  /** \returns attempts made so far. */
+  std::uint32_t Attempts() const { return mAttempts; }
+
+private:
+  struct Reading
+  {};
+  struct Seeking
+  {};
+  struct Attempting
+  {};
+  struct Streaming
+  {};
+  struct Ended
+  {};
+  using Phase = std::variant<Reading, Seeking, Attempting, Streaming, Ended>;
+
+  template<typename Wanted>
+  bool Is() const
+  {
+    return std::holds_alternative<Wanted>(mPhase);
+  }
+  LifeActions SeekAgain(bool aIsRepeat);
+  LifeActions End(LifeAction aAction);
+
+  RequestTerms mTerms;
+  Phase mPhase;
+  std::uint32_t mAttempts = 0;
+  /** Attempts in which an upstream may have begun to run it. */
+  std::uint32_t mRuns = 0;
+  /** Attempts that no upstream ran: unreachable or rejected. */
+  std::uint32_t mRejections = 0;
+  bool mMayHaveRun = false;
+};
+
+} // namespace auburnmux::carriage
--- /dev/null
+++ b/packages/cluster/Cluster.h
@@ -0,0 +1,5 @@
+#pragma once
+
+#include "cluster/src/WireBeat.h"
+
+#include "cluster/src/ClusterNode.h"
--- a/packages/cluster/src/ClusterNode.cpp
+++ b/packages/cluster/src/ClusterNode.cpp
@@ -1,26 +1,13 @@
-#include "daemon/src/ClusterNode.h"
+#include "cluster/src/ClusterNode.h"
 
-#include "daemon/src/WireBeat.h"
+#include "cluster/src/WireBeat.h"
 
 #include <utility>
 
-namespace auburnmux::daemon {
+namespace auburnmux::cluster {
 
 namespace {
 
-membership::MembershipSettings MakeSettings(const Shared& aShared)
-{
-  const config::HostSettings& it = aShared.mSettings;
-  membership::MembershipSettings settings;
-  settings.mSelf = { it.mHost,      aShared.mIncarnation, it.mDataCentre,
-                     it.mRegion,    it.mListen.mAddress,  it.mListen.mPort,
-                     it.mPeer.mPort };
-  for (const config::Seed& seed : it.mSeeds) {
-    settings.mSeeds.push_back({ seed.mPeer.mAddress, seed.mPeer.mPort });
-  }
-  return settings;
-}
-
 /** \returns whether the beat speaks for the host that sent the message. */
 bool IsFrom(const membership::Beat& aBeat, const protocol::Envelope& aEnvelope)
 {
@@ -74,18 +61,16 @@
       line.With("confirmed_by", it);
     }
     base::LogInfo(line);
-    const bool isReplaced =
-      aAction.mHost.mId == mNode.mShared.mSettings.mHost &&
-      aAction.mState == membership::HostState::Dead;
+    const bool isReplaced = aAction.mHost.mId == mNode.mSettings.mSelf.mId &&
+                            aAction.mState == membership::HostState::Dead;
     if (isReplaced) {
       base::LogWarning(
         base::LogLine("replaced")
           .With("reason", "a newer process uses this host's id"));
-      mNode.mShared.mLoop.Stop();
+      mNode.mLoop.Stop();
     }
-    mNode.mShared.mMetrics.Count(
-      "auburnmux_host_changes_total",
-      { { "state", HostStateName(aAction.mState) } });
+    mNode.mMetrics.Count("auburnmux_host_changes_total",
+                         { { "state", HostStateName(aAction.mState) } });
   }
   void operator()(const membership::ConfigAnnounced& aAction) const
   {
@@ -93,29 +78,31 @@
   }
 };
 
-ClusterNode::ClusterNode(const Shared& aShared, peer::Transport& aTransport,
-                         ViewChanged aViewChanged,
+ClusterNode::ClusterNode(http::Loop& aLoop, telemetry::Metrics& aMetrics,
+                         base::Random aRandom,
+                         membership::MembershipSettings aSettings,
+                         peer::Transport& aTransport, ViewChanged aViewChanged,
                          VersionAnnounced aVersionAnnounced)
-  : mShared(aShared)
+  : mLoop(aLoop)
+  , mMetrics(aMetrics)
+  , mSettings(std::move(aSettings))
   , mTransport(aTransport)
   , mViewChanged(std::move(aViewChanged))
   , mVersionAnnounced(std::move(aVersionAnnounced))
-  , mMembership(MakeSettings(aShared), aShared.mLoop.Now(),
-                base::Random(aShared.mRandom.Next()))
+  , mMembership(mSettings, aLoop.Now(), std::move(aRandom))
 {
   mView = mMembership.View();
 }
 
 void ClusterNode::Start()
 {
-  mShared.mLoop.Every(membership::Timing().mTick, [this] {
-    Execute(mMembership.OnTick(mShared.mLoop.Now()));
-  });
+  mLoop.Every(mSettings.mTiming.mTick,
+              [this] { Execute(mMembership.OnTick(mLoop.Now())); });
 }
 
 void ClusterNode::OnMessage(const protocol::Envelope& aEnvelope)
 {
-  const base::TimePoint now = mShared.mLoop.Now();
+  const base::TimePoint now = mLoop.Now();
   if (aEnvelope.has_heartbeat()) {
     const auto beat = FromWire(aEnvelope.heartbeat());
     if (beat && IsFrom(*beat, aEnvelope)) {
@@ -138,12 +125,12 @@
 void ClusterNode::StartLeaving()
 {
   mIsLeaving = true;
-  Execute(mMembership.StartLeaving(mShared.mLoop.Now()));
+  Execute(mMembership.StartLeaving(mLoop.Now()));
 }
 
 void ClusterNode::SetConfigVersion(base::ConfigVersion aVersion)
 {
-  Execute(mMembership.SetConfigVersion(mShared.mLoop.Now(), aVersion));
+  Execute(mMembership.SetConfigVersion(mLoop.Now(), aVersion));
 }
 
 void ClusterNode::Execute(const membership::Actions& aActions)
@@ -197,7 +184,7 @@
   for (const membership::HostView& it : mView) {
     const bool isGone = it.mState == membership::HostState::Dead ||
                         it.mState == membership::HostState::Leaving;
-    if (!isGone || it.mHost.mId == mShared.mSettings.mHost) {
+    if (!isGone || it.mHost.mId == mSettings.mSelf.mId) {
       live.push_back(it);
     }
   }
@@ -208,7 +195,7 @@
 {
   std::vector<base::HostId> hosts;
   for (const membership::HostView& it : LiveHosts()) {
-    if (it.mHost.mDataCentre == mShared.mSettings.mDataCentre) {
+    if (it.mHost.mDataCentre == mSettings.mSelf.mDataCentre) {
       hosts.push_back(it.mHost.mId);
     }
   }
@@ -221,7 +208,7 @@
   const auto rank = [duty](const base::HostId& aHost) {
     return base::CombineHash(base::Hash64(aHost.Text()), duty);
   };
-  const std::uint64_t own = rank(mShared.mSettings.mHost);
+  const std::uint64_t own = rank(mSettings.mSelf.mId);
   for (const base::HostId& it : LiveHostsHere()) {
     if (rank(it) > own) {
       return false;
@@ -230,4 +217,4 @@
   return true;
 }
 
-} // namespace auburnmux::daemon
+} // namespace auburnmux::cluster
--- a/packages/cluster/src/ClusterNode.h
+++ b/packages/cluster/src/ClusterNode.h
@@ -1,16 +1,14 @@
 #pragma once
 
-#include "daemon/src/Shared.h"
-#include "daemon/src/UpstreamSet.h"
-
 #include "membership/Membership.h"
 #include "peer/Peer.h"
+#include "telemetry/Telemetry.h"
 
 #include <functional>
 #include <optional>
 #include <vector>
 
-namespace auburnmux::daemon {
+namespace auburnmux::cluster {
 
 /** \returns the state as it stands in logs and status pages, e.g. "alive". */
 const char* HostStateName(membership::HostState aState);
@@ -23,8 +21,10 @@
   using VersionAnnounced =
     std::function<void(const http::Endpoint&, base::ConfigVersion)>;
 
-  ClusterNode(const Shared& aShared, peer::Transport& aTransport,
-              ViewChanged aViewChanged, VersionAnnounced aVersionAnnounced);
+  ClusterNode(http::Loop& aLoop, telemetry::Metrics& aMetrics,
+              base::Random aRandom, membership::MembershipSettings aSettings,
+              peer::Transport& aTransport, ViewChanged aViewChanged,
+              VersionAnnounced aVersionAnnounced);
 
   /** Starts the ticks. */
   void Start();
@@ -48,6 +48,8 @@
    * rendezvous order of the live hosts. */
   bool IsFirstHere(std::string_view aDuty) const;
   bool IsLeaving() const { return mIsLeaving; }
+  /** \returns this host as it describes itself. */
+  const membership::HostIdentity& Self() const { return mSettings.mSelf; }
 
 private:
   void Execute(const membership::Actions& aActions);
@@ -56,7 +58,9 @@
 
   struct ActionVisitor;
 
-  const Shared& mShared;
+  http::Loop& mLoop;
+  telemetry::Metrics& mMetrics;
+  membership::MembershipSettings mSettings;
   peer::Transport& mTransport;
   ViewChanged mViewChanged;
   VersionAnnounced mVersionAnnounced;
@@ -66,4 +70,4 @@
   bool mIsLeaving = false;
 };
 
-} // namespace auburnmux::daemon
+} // namespace auburnmux::cluster
--- a/packages/cluster/src/WireBeat.cpp
+++ b/packages/cluster/src/WireBeat.cpp
@@ -1,6 +1,6 @@
-#include "daemon/src/WireBeat.h"
+#include "cluster/src/WireBeat.h"
 
-namespace auburnmux::daemon {
+namespace auburnmux::cluster {
 
 namespace {
 
@@ -160,4 +160,4 @@
   return ReadWire(aMessage);
 }
 
-} // namespace auburnmux::daemon
+} // namespace auburnmux::cluster
--- a/packages/cluster/src/WireBeat.h
+++ b/packages/cluster/src/WireBeat.h
@@ -3,7 +3,7 @@
 #include "membership/Membership.h"
 #include "protocol/Protocol.h"
 
-namespace auburnmux::daemon {
+namespace auburnmux::cluster {
 
 /** \returns the message `Heartbeat` for \a aBeat. */
 protocol::Envelope ToHeartbeat(const membership::Beat& aBeat);
@@ -18,4 +18,4 @@
 std::optional<membership::Beat> FromWire(
   const protocol::HeartbeatAck& aMessage);
 
-} // namespace auburnmux::daemon
+} // namespace auburnmux::cluster
--- a/packages/daemon/src/AdminPages.cpp
+++ b/packages/daemon/src/AdminPages.cpp
@@ -146,7 +146,7 @@
   json peers = json::array();
   for (const membership::HostView& it : mSources.mCluster.View()) {
     peers.push_back({ { "host", it.mHost.mId.Text() },
-                      { "state", HostStateName(it.mState) },
+                      { "state", cluster::HostStateName(it.mState) },
                       { "data_centre", it.mHost.mDataCentre.Text() } });
   }
   json services = json::array();
@@ -237,14 +237,14 @@
   metrics.Set(
     "auburnmux_config_version", {},
     static_cast<double>(mSources.mConfig.State().Tag().mVersion.Count()));
-  for (std::size_t i = 0; i < platform::kCallPurposes; ++i) {
-    const auto purpose = static_cast<platform::CallPurpose>(i);
+  for (std::size_t i = 0; i < objects::kCallPurposes; ++i) {
+    const auto purpose = static_cast<objects::CallPurpose>(i);
     const auto& calls = mSources.mPlatform.Budget().Counts(purpose);
     const telemetry::Labels labels = { { "purpose",
-                                         platform::PurposeName(purpose) } };
-    metrics.Set("auburnmux_platform_calls", labels,
+                                         objects::PurposeName(purpose) } };
+    metrics.Set("auburnmux_objects_calls", labels,
                 static_cast<double>(calls.mMade));
-    metrics.Set("auburnmux_platform_calls_refused", labels,
+    metrics.Set("auburnmux_objects_calls_refused", labels,
                 static_cast<double>(calls.mRefused));
   }
   for (const auto& [id, service] : mSources.mCarriage.Services()) {
--- a/packages/daemon/src/AdminPages.h
+++ b/packages/daemon/src/AdminPages.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "cluster/Cluster.h"
 #include "daemon/src/Carriage.h"
-#include "daemon/src/ClusterNode.h"
 #include "daemon/src/ConfigService.h"
 #include "daemon/src/LookupService.h"
 #include "daemon/src/Shared.h"
@@ -15,12 +15,12 @@
 struct PageSources
 {
   const Shared& mShared;
-  ClusterNode& mCluster;
+  cluster::ClusterNode& mCluster;
   ConfigService& mConfig;
   LookupService& mLookup;
   Carriage& mCarriage;
   peer::Transport& mTransport;
-  platform::PlatformClient& mPlatform;
+  objects::PlatformClient& mPlatform;
 };
 
 /**
--- a/packages/daemon/src/Carriage.cpp
+++ b/packages/daemon/src/Carriage.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-Carriage::Carriage(const Shared& aShared, const ClusterNode& aCluster,
+Carriage::Carriage(const Shared& aShared, const cluster::ClusterNode& aCluster,
                    Gates aGates)
   : mShared(aShared)
   , mCluster(aCluster)
--- a/packages/daemon/src/Carriage.h
+++ b/packages/daemon/src/Carriage.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "daemon/src/ClusterNode.h"
+#include "cluster/Cluster.h"
 #include "daemon/src/ServiceRuntime.h"
 #include "daemon/src/Shared.h"
 
@@ -13,7 +13,8 @@
 class Carriage
 {
 public:
-  Carriage(const Shared& aShared, const ClusterNode& aCluster, Gates aGates);
+  Carriage(const Shared& aShared, const cluster::ClusterNode& aCluster,
+           Gates aGates);
 
   void Start();
   /** Takes a new configuration or a new view of the hosts. */
@@ -47,7 +48,7 @@
   void ScheduleTick();
 
   const Shared& mShared;
-  const ClusterNode& mCluster;
+  const cluster::ClusterNode& mCluster;
   Gates mGates;
   std::map<base::ServiceId, std::unique_ptr<ServiceRuntime>> mServices;
   /** Services that are no longer in force and finish their requests. */
--- a/packages/daemon/src/ClaimService.cpp
+++ b/packages/daemon/src/ClaimService.cpp
@@ -121,7 +121,8 @@
 };
 
 ClaimService::ClaimService(const Shared& aShared, peer::Transport& aTransport,
-                           const ClusterNode& aCluster, ClaimStore& aStore)
+                           const cluster::ClusterNode& aCluster,
+                           ClaimStore& aStore)
   : mShared(aShared)
   , mTransport(aTransport)
   , mCluster(aCluster)
--- a/packages/daemon/src/ClaimService.h
+++ b/packages/daemon/src/ClaimService.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "cluster/Cluster.h"
 #include "daemon/src/ClaimGate.h"
 #include "daemon/src/ClaimStore.h"
-#include "daemon/src/ClusterNode.h"
 #include "daemon/src/Shared.h"
 
 #include "idempotency/Idempotency.h"
@@ -23,7 +23,7 @@
 {
 public:
   ClaimService(const Shared& aShared, peer::Transport& aTransport,
-               const ClusterNode& aCluster, ClaimStore& aStore);
+               const cluster::ClusterNode& aCluster, ClaimStore& aStore);
 
   void Start();
   /** Takes a message about claims. */
@@ -81,7 +81,7 @@
 
   const Shared& mShared;
   peer::Transport& mTransport;
-  const ClusterNode& mCluster;
+  const cluster::ClusterNode& mCluster;
   ClaimStore& mStore;
   idempotency::Retention mRetention;
   idempotency::ClaimClient mClient;
--- a/packages/daemon/src/ConfigService.cpp
+++ b/packages/daemon/src/ConfigService.cpp
@@ -39,8 +39,8 @@
 } // namespace
 
 ConfigService::ConfigService(const Shared& aShared, peer::Transport& aTransport,
-                             ClusterNode& aCluster,
-                             platform::PlatformClient& aPlatform,
+                             cluster::ClusterNode& aCluster,
+                             objects::PlatformClient& aPlatform,
                              Changed aChanged)
   : mShared(aShared)
   , mTransport(aTransport)
@@ -77,15 +77,15 @@
 
 void ConfigService::Watch()
 {
-  const platform::CallOptions options{ platform::CallPurpose::ConfigWatch,
-                                       platform::kWatchTimeout };
+  const objects::CallOptions options{ objects::CallPurpose::ConfigWatch,
+                                      objects::kWatchTimeout };
   mPlatform.Watch(
     config::kCurrentObject, mPointerVersion, options,
-    [this](const platform::WatchResult& aResult) {
+    [this](const objects::WatchResult& aResult) {
       mIsCalling = false;
-      if (const auto* found = std::get_if<platform::ObjectFound>(&aResult)) {
+      if (const auto* found = std::get_if<objects::ObjectFound>(&aResult)) {
         OnPointerBytes(found->mVersion, found->mBytes);
-      } else if (std::holds_alternative<platform::ObjectUnchanged>(aResult)) {
+      } else if (std::holds_alternative<objects::ObjectUnchanged>(aResult)) {
         OnCallAnswered();
         mState.NotePlatformVersion(mState.Tag(), mShared.mLoop.Now());
       } else {
@@ -96,17 +96,16 @@
 
 void ConfigService::Read()
 {
-  const platform::CallOptions options{ platform::CallPurpose::ConfigRead };
+  const objects::CallOptions options{ objects::CallPurpose::ConfigRead };
   mPlatform.Get(
-    config::kCurrentObject, options,
-    [this](const platform::GetResult& aResult) {
+    config::kCurrentObject, options, [this](const objects::GetResult& aResult) {
       mIsCalling = false;
-      if (const auto* found = std::get_if<platform::ObjectFound>(&aResult)) {
+      if (const auto* found = std::get_if<objects::ObjectFound>(&aResult)) {
         const bool hasSnapshot = mState.InForce() != nullptr;
         mNextCall = mShared.mLoop.Now() +
                     (hasSnapshot && !IsWatcher() ? kConfirmInterval : kTick);
         OnPointerBytes(found->mVersion, found->mBytes);
-      } else if (std::holds_alternative<platform::ObjectNotFound>(aResult)) {
+      } else if (std::holds_alternative<objects::ObjectNotFound>(aResult)) {
         mNextCall = mShared.mLoop.Now() + kFirstReadInterval;
       } else {
         OnCallFailed();
@@ -120,7 +119,7 @@
   const auto hosts = static_cast<std::uint32_t>(mCluster.LiveHosts().size());
   mNextCall =
     mShared.mLoop.Now() + mBackoff.Next(mShared.mRandom) +
-    platform::ReconnectDelay(platform::HostCount(hosts), mShared.mRandom);
+    objects::ReconnectDelay(objects::HostCount(hosts), mShared.mRandom);
   if (!std::exchange(mWasUnreachable, true)) {
     base::LogWarning(base::LogLine("platform_unreachable")
                        .With("version", mState.Tag().mVersion));
@@ -163,10 +162,10 @@
 
 void ConfigService::FetchNextPart()
 {
-  const platform::CallOptions options{ platform::CallPurpose::ConfigRead };
+  const objects::CallOptions options{ objects::CallPurpose::ConfigRead };
   const std::string name = mDownload->mNames.front();
-  mPlatform.Get(name, options, [this](const platform::GetResult& aResult) {
-    const auto* found = std::get_if<platform::ObjectFound>(&aResult);
+  mPlatform.Get(name, options, [this](const objects::GetResult& aResult) {
+    const auto* found = std::get_if<objects::ObjectFound>(&aResult);
     if (found == nullptr) {
       mDownload.reset();
       // The pointer is read again, which starts the download anew.
--- a/packages/daemon/src/ConfigService.h
+++ b/packages/daemon/src/ConfigService.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "daemon/src/ClusterNode.h"
+#include "cluster/Cluster.h"
 #include "daemon/src/Shared.h"
 
 #include "config/Config.h"
-#include "platform/Platform.h"
+#include "objects/Objects.h"
 
 #include <functional>
 #include <string>
@@ -19,8 +19,8 @@
   using Changed = std::function<void(const config::Snapshot&)>;
 
   ConfigService(const Shared& aShared, peer::Transport& aTransport,
-                ClusterNode& aCluster, platform::PlatformClient& aPlatform,
-                Changed aChanged);
+                cluster::ClusterNode& aCluster,
+                objects::PlatformClient& aPlatform, Changed aChanged);
 
   void Start();
   /** Takes a message about snapshots. */
@@ -56,13 +56,13 @@
 
   const Shared& mShared;
   peer::Transport& mTransport;
-  ClusterNode& mCluster;
-  platform::PlatformClient& mPlatform;
+  cluster::ClusterNode& mCluster;
+  objects::PlatformClient& mPlatform;
   Changed mChanged;
   config::ConfigState mState;
   base::ObjectVersion mPointerVersion;
   std::optional<Download> mDownload;
-  platform::Backoff mBackoff;
+  objects::Backoff mBackoff;
   bool mIsCalling = false;
   bool mWasUnreachable = false;
   base::TimePoint mNextCall;
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -1,10 +1,10 @@
 #include "daemon/src/Daemon.h"
 
+#include "cluster/Cluster.h"
 #include "daemon/src/AdminPages.h"
 #include "daemon/src/Answers.h"
 #include "daemon/src/Carriage.h"
 #include "daemon/src/ClaimService.h"
-#include "daemon/src/ClusterNode.h"
 #include "daemon/src/ConfigService.h"
 #include "daemon/src/GracefulStop.h"
 #include "daemon/src/LookupService.h"
@@ -17,6 +17,19 @@
 
 namespace {
 
+membership::MembershipSettings MakeMembership(const Shared& aShared)
+{
+  const config::HostSettings& it = aShared.mSettings;
+  membership::MembershipSettings settings;
+  settings.mSelf = { it.mHost,      aShared.mIncarnation, it.mDataCentre,
+                     it.mRegion,    it.mListen.mAddress,  it.mListen.mPort,
+                     it.mPeer.mPort };
+  for (const config::Seed& seed : it.mSeeds) {
+    settings.mSeeds.push_back({ seed.mPeer.mAddress, seed.mPeer.mPort });
+  }
+  return settings;
+}
+
 constexpr base::Duration kLookupTick = std::chrono::seconds(1);
 constexpr base::Duration kHostListInterval = std::chrono::seconds(30);
 
@@ -52,8 +65,8 @@
   telemetry::SpanLog mSpans;
   Shared mShared;
   peer::Transport mTransport;
-  platform::PlatformClient mPlatform;
-  ClusterNode mCluster;
+  objects::PlatformClient mPlatform;
+  cluster::ClusterNode mCluster;
   ConfigService mConfig;
   LookupService mLookup;
   PlatformClaimStore mClaimStore;
@@ -94,7 +107,8 @@
   , mPlatform(mLoop, mClient,
               { mSettings.mPlatform.mAddress, mSettings.mPlatform.mPort })
   , mCluster(
-      mShared, mTransport, [this] { OnViewChanged(); },
+      mShared.mLoop, mShared.mMetrics, base::Random(mShared.mRandom.Next()),
+      MakeMembership(mShared), mTransport, [this] { OnViewChanged(); },
       [this](const http::Endpoint& aPeer, base::ConfigVersion aVersion) {
         mConfig.OnVersionAnnounced(aPeer, aVersion);
       })
@@ -248,15 +262,15 @@
     return;
   }
   mPlatform.Hosts(
-    { platform::CallPurpose::HostList },
-    [this](const platform::HostsResult& aResult) {
+    { objects::CallPurpose::HostList },
+    [this](const objects::HostsResult& aResult) {
       const auto* hosts =
-        std::get_if<std::vector<platform::ListedHost>>(&aResult);
+        std::get_if<std::vector<objects::ListedHost>>(&aResult);
       if (hosts == nullptr) {
         return;
       }
       std::vector<membership::Candidate> candidates;
-      for (const platform::ListedHost& it : *hosts) {
+      for (const objects::ListedHost& it : *hosts) {
         candidates.push_back(
           { it.mId, { it.mEndpoint.mAddress, it.mEndpoint.mPort } });
       }
--- a/packages/daemon/src/GracefulStop.cpp
+++ b/packages/daemon/src/GracefulStop.cpp
@@ -16,8 +16,9 @@
 
 } // namespace
 
-GracefulStop::GracefulStop(const Shared& aShared, ClusterNode& aCluster,
-                           Carriage& aCarriage, http::Server& aServer,
+GracefulStop::GracefulStop(const Shared& aShared,
+                           cluster::ClusterNode& aCluster, Carriage& aCarriage,
+                           http::Server& aServer,
                            std::function<void()> aLeaving)
   : mShared(aShared)
   , mCluster(aCluster)
--- a/packages/daemon/src/GracefulStop.h
+++ b/packages/daemon/src/GracefulStop.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "cluster/Cluster.h"
 #include "daemon/src/Carriage.h"
-#include "daemon/src/ClusterNode.h"
 #include "daemon/src/Shared.h"
 
 #include "http/Http.h"
@@ -18,7 +18,7 @@
 class GracefulStop
 {
 public:
-  GracefulStop(const Shared& aShared, ClusterNode& aCluster,
+  GracefulStop(const Shared& aShared, cluster::ClusterNode& aCluster,
                Carriage& aCarriage, http::Server& aServer,
                std::function<void()> aLeaving);
   ~GracefulStop();
@@ -37,7 +37,7 @@
   void End();
 
   const Shared& mShared;
-  ClusterNode& mCluster;
+  cluster::ClusterNode& mCluster;
   Carriage& mCarriage;
   http::Server& mServer;
   std::function<void()> mLeaving;
--- a/packages/daemon/src/LookupService.cpp
+++ b/packages/daemon/src/LookupService.cpp
@@ -40,7 +40,8 @@
 
 } // namespace
 
-LookupService::LookupService(const Shared& aShared, const ClusterNode& aCluster)
+LookupService::LookupService(const Shared& aShared,
+                             const cluster::ClusterNode& aCluster)
   : mShared(aShared)
   , mCluster(aCluster)
   , mRanking(MakeSettings(), aShared.mLoop.Now())
--- a/packages/daemon/src/LookupService.h
+++ b/packages/daemon/src/LookupService.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "daemon/src/ClusterNode.h"
+#include "cluster/Cluster.h"
 #include "daemon/src/Shared.h"
 
 #include "lookup/Lookup.h"
@@ -14,7 +14,7 @@
 class LookupService
 {
 public:
-  LookupService(const Shared& aShared, const ClusterNode& aCluster);
+  LookupService(const Shared& aShared, const cluster::ClusterNode& aCluster);
 
   /** Takes the sites and their client blocks from a new configuration. */
   void Configure(const config::TopologyFile& aTopology);
@@ -43,7 +43,7 @@
     const std::optional<std::string>& aDataCentre) const;
 
   const Shared& mShared;
-  const ClusterNode& mCluster;
+  const cluster::ClusterNode& mCluster;
   lookup::HostRanking mRanking;
   lookup::BlockTable mBlocks;
   /** Data centre of each site, by its number. */
--- a/packages/daemon/src/PlatformClaimStore.cpp
+++ b/packages/daemon/src/PlatformClaimStore.cpp
@@ -9,8 +9,8 @@
 using idempotency::CallStatus;
 
 // Claims are refused after about a second, so a later answer has no use.
-constexpr platform::CallOptions kOptions{ platform::CallPurpose::Claims,
-                                          std::chrono::milliseconds(800) };
+constexpr objects::CallOptions kOptions{ objects::CallPurpose::Claims,
+                                         std::chrono::milliseconds(800) };
 
 std::string Prefix(idempotency::PartitionNumber aPartition)
 {
@@ -44,11 +44,11 @@
 {
   idempotency::CallNumber mCall;
 
-  idempotency::ReadResult operator()(const platform::ObjectFound& aIt) const
+  idempotency::ReadResult operator()(const objects::ObjectFound& aIt) const
   {
     return { mCall, CallStatus::Done, aIt.mVersion, aIt.mBytes };
   }
-  idempotency::ReadResult operator()(const platform::ObjectNotFound&) const
+  idempotency::ReadResult operator()(const objects::ObjectNotFound&) const
   {
     return { mCall, CallStatus::NotFound, {}, {} };
   }
@@ -64,11 +64,11 @@
 {
   idempotency::CallNumber mCall;
 
-  idempotency::WriteResult operator()(const platform::ObjectStored& aIt) const
+  idempotency::WriteResult operator()(const objects::ObjectStored& aIt) const
   {
     return { mCall, CallStatus::Done, aIt.mVersion };
   }
-  idempotency::WriteResult operator()(const platform::ConditionFailed&) const
+  idempotency::WriteResult operator()(const objects::ConditionFailed&) const
   {
     return { mCall, CallStatus::Conflict, {} };
   }
@@ -84,11 +84,11 @@
 {
   idempotency::CallNumber mCall;
 
-  idempotency::DeleteResult operator()(const platform::ObjectDeleted&) const
+  idempotency::DeleteResult operator()(const objects::ObjectDeleted&) const
   {
     return { mCall, CallStatus::Done };
   }
-  idempotency::DeleteResult operator()(const platform::ObjectNotFound&) const
+  idempotency::DeleteResult operator()(const objects::ObjectNotFound&) const
   {
     return { mCall, CallStatus::NotFound };
   }
@@ -101,7 +101,7 @@
 
 } // namespace
 
-PlatformClaimStore::PlatformClaimStore(platform::PlatformClient& aPlatform)
+PlatformClaimStore::PlatformClaimStore(objects::PlatformClient& aPlatform)
   : mPlatform(aPlatform)
 {
 }
@@ -113,13 +113,13 @@
   const std::string prefix = Prefix(aPartition);
   mPlatform.List(
     prefix, kOptions,
-    [prefix, call = aCall.mCall, aDone](const platform::ListResult& aResult) {
+    [prefix, call = aCall.mCall, aDone](const objects::ListResult& aResult) {
       idempotency::ListResult result{ call, CallStatus::Unknown, {} };
       const auto* objects =
-        std::get_if<std::vector<platform::ListedObject>>(&aResult);
+        std::get_if<std::vector<objects::ListedObject>>(&aResult);
       if (objects != nullptr) {
         result.mStatus = CallStatus::Done;
-        for (const platform::ListedObject& it : *objects) {
+        for (const objects::ListedObject& it : *objects) {
           if (const auto n = ParseSegment(it.mName, prefix)) {
             result.mSegments.push_back(*n);
           }
@@ -132,11 +132,10 @@
 void PlatformClaimStore::Read(idempotency::PartitionNumber aPartition,
                               const idempotency::ReadSegment& aCall, Done aDone)
 {
-  mPlatform.Get(
-    Name(aPartition, aCall.mSegment), kOptions,
-    [call = aCall.mCall, aDone](const platform::GetResult& aResult) {
-      aDone(std::visit(ReadMapper{ call }, aResult));
-    });
+  mPlatform.Get(Name(aPartition, aCall.mSegment), kOptions,
+                [call = aCall.mCall, aDone](const objects::GetResult& aResult) {
+                  aDone(std::visit(ReadMapper{ call }, aResult));
+                });
 }
 
 void PlatformClaimStore::Write(idempotency::PartitionNumber aPartition,
@@ -144,15 +143,15 @@
                                Done aDone)
 {
   const bool mustBeAbsent = aCall.mExpected == idempotency::kAbsent;
-  const platform::WriteCondition condition =
+  const objects::WriteCondition condition =
     mustBeAbsent
-      ? platform::WriteCondition(platform::IfAbsent{})
-      : platform::WriteCondition(platform::IfVersion{ aCall.mExpected });
-  mPlatform.Put(
-    Name(aPartition, aCall.mSegment), aCall.mBytes, condition, kOptions,
-    [call = aCall.mCall, aDone](const platform::PutResult& aResult) {
-      aDone(std::visit(WriteMapper{ call }, aResult));
-    });
+      ? objects::WriteCondition(objects::IfAbsent{})
+      : objects::WriteCondition(objects::IfVersion{ aCall.mExpected });
+  mPlatform.Put(Name(aPartition, aCall.mSegment), aCall.mBytes, condition,
+                kOptions,
+                [call = aCall.mCall, aDone](const objects::PutResult& aResult) {
+                  aDone(std::visit(WriteMapper{ call }, aResult));
+                });
 }
 
 void PlatformClaimStore::Delete(idempotency::PartitionNumber aPartition,
@@ -163,18 +162,17 @@
   const std::string name = Name(aPartition, aCall.mSegment);
   mPlatform.Get(
     name, kOptions,
-    [this, name, call = aCall.mCall,
-     aDone](const platform::GetResult& aResult) {
-      const auto* found = std::get_if<platform::ObjectFound>(&aResult);
+    [this, name, call = aCall.mCall, aDone](const objects::GetResult& aResult) {
+      const auto* found = std::get_if<objects::ObjectFound>(&aResult);
       if (found == nullptr) {
         const bool isGone =
-          std::holds_alternative<platform::ObjectNotFound>(aResult);
+          std::holds_alternative<objects::ObjectNotFound>(aResult);
         aDone(idempotency::DeleteResult{ call, isGone ? CallStatus::NotFound
                                                       : CallStatus::Unknown });
         return;
       }
       mPlatform.Delete(name, found->mVersion, kOptions,
-                       [call, aDone](const platform::DeleteResult& aDeleted) {
+                       [call, aDone](const objects::DeleteResult& aDeleted) {
                          aDone(std::visit(DeleteMapper{ call }, aDeleted));
                        });
     });
--- a/packages/daemon/src/PlatformClaimStore.h
+++ b/packages/daemon/src/PlatformClaimStore.h
@@ -2,7 +2,7 @@
 
 #include "daemon/src/ClaimStore.h"
 
-#include "platform/Platform.h"
+#include "objects/Objects.h"
 
 #include <map>
 #include <string>
@@ -14,7 +14,7 @@
 class PlatformClaimStore final : public ClaimStore
 {
 public:
-  explicit PlatformClaimStore(platform::PlatformClient& aPlatform);
+  explicit PlatformClaimStore(objects::PlatformClient& aPlatform);
 
   void List(idempotency::PartitionNumber aPartition,
             const idempotency::ListSegments& aCall, Done aDone) override;
@@ -26,7 +26,7 @@
               const idempotency::DeleteSegment& aCall, Done aDone) override;
 
 private:
-  platform::PlatformClient& mPlatform;
+  objects::PlatformClient& mPlatform;
 };
 
 } // namespace auburnmux::daemon
--- a/packages/daemon/src/SpillService.cpp
+++ b/packages/daemon/src/SpillService.cpp
@@ -34,8 +34,8 @@
 } // namespace
 
 SpillService::SpillService(const Shared& aShared, peer::Transport& aTransport,
-                           const ClusterNode& aCluster, Measure aMeasure,
-                           Retry aRetry)
+                           const cluster::ClusterNode& aCluster,
+                           Measure aMeasure, Retry aRetry)
   : mShared(aShared)
   , mTransport(aTransport)
   , mCluster(aCluster)
--- a/packages/daemon/src/SpillService.h
+++ b/packages/daemon/src/SpillService.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "daemon/src/ClusterNode.h"
+#include "cluster/Cluster.h"
 #include "daemon/src/Shared.h"
 #include "daemon/src/SpillGate.h"
 
@@ -32,7 +32,8 @@
   using Retry = std::function<void(const base::ServiceId&)>;
 
   SpillService(const Shared& aShared, peer::Transport& aTransport,
-               const ClusterNode& aCluster, Measure aMeasure, Retry aRetry);
+               const cluster::ClusterNode& aCluster, Measure aMeasure,
+               Retry aRetry);
 
   void Start();
   void Configure(const config::Snapshot& aSnapshot);
@@ -74,7 +75,7 @@
 
   const Shared& mShared;
   peer::Transport& mTransport;
-  const ClusterNode& mCluster;
+  const cluster::ClusterNode& mCluster;
   Measure mMeasure;
   Retry mRetry;
   steering::SpillPolicy mPolicy;
--- /dev/null
+++ b/packages/entry/src/Attempt.cpp
@@ -0,0 +1,75 @@
+#include "entry/src/Attempt.h"
+
+#include <utility>
+
+namespace auburnmux::entry {
+
+Attempt::Attempt(Services& aServices, AttemptObserver& aObserver,
+                 const placing::Placed& aPlace)
+  : mServices(aServices)
+  , mObserver(&aObserver)
+  , mPlace(aPlace)
+  , mStart(aServices.mLoop.Now())
+{
+}
+
+void Attempt::Start(const http::ClientRequest& aRequest)
+{
+  mExchange = mServices.mClient.Send(aRequest, shared_from_this());
+}
+
+void Attempt::Cancel()
+{
+  mObserver = nullptr;
+  mExchange->Cancel();
+}
+
+base::Duration Attempt::Elapsed() const
+{
+  return mServices.mLoop.Now() - mStart;
+}
+
+void Attempt::OnHead(const http::ResponseHead& aHead)
+{
+  mHasHead = true;
+  mHead = aHead;
+}
+
+void Attempt::OnBody(std::string_view aPart)
+{
+  if (mObserver == nullptr) {
+    return;
+  }
+  if (mIsStreaming) {
+    mObserver->OnAttemptBody(aPart);
+    return;
+  }
+  mBody += aPart;
+  if (mBody.size() > kMaxKeptBody) {
+    mIsStreaming = true;
+    mObserver->OnAttemptStreaming();
+  }
+}
+
+void Attempt::OnEnd()
+{
+  if (mObserver != nullptr) {
+    std::exchange(mObserver, nullptr)->OnAttemptResponse();
+  }
+}
+
+void Attempt::OnFailure(const http::Failure& aFailure)
+{
+  if (mObserver != nullptr) {
+    std::exchange(mObserver, nullptr)->OnAttemptFailed(aFailure);
+  }
+}
+
+void Attempt::OnWritable()
+{
+  if (mObserver != nullptr) {
+    mObserver->OnAttemptWritable();
+  }
+}
+
+} // namespace auburnmux::entry
--- /dev/null
+++ b/packages/entry/src/Carrier.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "carriage/Carriage.h"
+#include "entry/src/Attempt.h"
+#include "entry/src/Services.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace auburnmux::entry {
+
+/**
+ * Carries one request: keeps its body, does what its RequestLife decides, and
+ * delivers the response. It lives until the exchange with the client ends.
+ */
+class Carrier final
+  : public AttemptObserver
+  , public std::enable_shared_from_this<Carrier>
+{
+public:
+  /** Longest request body that is kept, so that it can be sent again. */
+  static constexpr std::size_t kMaxKeptBody = std::size_t{ 1 } << 20U;
+
+  Carrier(Services& aServices, std::shared_ptr<http::ServerExchange> aExchange);
+  ~Carrier() override;
+  Carrier(const Carrier&) = delete;
+  Carrier& operator=(const Carrier&) = delete;
+
+  /** Begins; the carrier observes the exchange from then on. */
+  void Start();
+
+  // Events of the exchange with the client.
+  void OnBody(std::string_view aPart);
+  void OnBodyEnd();
+  void OnWritable();
+  void OnClosed(bool aIsComplete);
+
+  // Events of the attempt.
+  void OnAttemptResponse() override;
+  void OnAttemptStreaming() override;
+  void OnAttemptBody(std::string_view aPart) override;
+  void OnAttemptFailed(const http::Failure& aFailure) override;
+  void OnAttemptWritable() override;
+
+private:
+  struct ActionVisitor;
+
+  void StartTimer();
+  void Execute(const carriage::LifeActions& aActions);
+  void Refuse(carriage::Reason aReason, base::Duration aRetryAfter);
+  void DenyUnknownRoute();
+  void Seek(bool aIsRepeat);
+  void Send(const placing::Placed& aPlace);
+  http::ClientRequest MakeRequest(const base::UpstreamId& aUpstream) const;
+  base::Duration TimeLeft() const;
+  void EndAttempt(placing::Outcome aOutcome);
+  void Relay();
+  void RelayKept();
+  void SendFailure(carriage::Reason aReason);
+  void CancelAttempt();
+  void LogEnd(std::string_view aOutcome, int aStatus);
+  void StopTimer();
+
+  Services& mServices;
+  std::shared_ptr<http::ServerExchange> mExchange;
+  RequestFacts mFacts;
+  std::shared_ptr<const routing::Route> mRoute;
+  placing::PlaceRequest mPlaceRequest;
+  std::optional<carriage::RequestLife> mLife;
+  std::optional<http::Loop::TimerId> mTimer;
+  base::TimePoint mArrived;
+  base::TimePoint mAnswerBy;
+  std::string mBody;
+  bool mIsBodyComplete = false;
+  /** Whether parts of the body were passed on that aren't kept. */
+  bool mIsBodyStreaming = false;
+  std::shared_ptr<Attempt> mAttempt;
+  /** Whether the attempt counts at its upstream. */
+  bool mIsAttemptOpen = false;
+  /** A failure response of an earlier attempt, for want of a better one. */
+  std::shared_ptr<Attempt> mKept;
+  bool mIsAnswered = false;
+};
+
+} // namespace auburnmux::entry
--- /dev/null
+++ b/packages/entry/src/EntryNode.cpp
@@ -0,0 +1,364 @@
+#include "entry/src/EntryNode.h"
+
+#include "cluster/Cluster.h"
+#include "entry/src/Carrier.h"
+#include "entry/src/Directory.h"
+#include "entry/src/HealthChecks.h"
+#include "entry/src/Services.h"
+#include "peer/Peer.h"
+#include "upstreams/Upstreams.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace auburnmux::entry {
+
+namespace {
+
+/** How often due checks, lapsed upstreams and the stop are looked at. */
+constexpr base::Duration kTick = std::chrono::milliseconds(100);
+
+/** Part of the stop grace after which idle connections are closed and no new
+ * ones are taken: clients have learned of other hosts by then. */
+constexpr double kQuietAfter = 0.6;
+
+/** Time before the end of the stop grace at which what is left is cut. */
+constexpr base::Duration kStopMargin = std::chrono::milliseconds(300);
+
+http::ClientOptions UpstreamConnections(const EntrySettings& aSettings)
+{
+  http::ClientOptions options;
+  options.mSource = aSettings.mFront.mAddress;
+  // Upstreams state how long they keep idle connections.
+  options.mMaxIdle = std::chrono::seconds(5);
+  options.mUnacknowledged = std::chrono::milliseconds(2000);
+  options.mProbeAfter = std::chrono::seconds(1);
+  return options;
+}
+
+membership::MembershipSettings MakeMembership(const EntrySettings& aSettings)
+{
+  membership::MembershipSettings settings;
+  settings.mSelf = { aSettings.mHost,           base::Incarnation(1),
+                     aSettings.mDataCentre,     aSettings.mRegion,
+                     aSettings.mFront.mAddress, aSettings.mFront.mPort,
+                     aSettings.mPeer.mPort };
+  for (const http::Endpoint& it : aSettings.mSeeds) {
+    settings.mSeeds.push_back({ it.mAddress, it.mPort });
+  }
+  settings.mTiming.mHeartbeat = std::chrono::milliseconds(500);
+  settings.mTiming.mTick = kTick;
+  settings.mTiming.mSuspectAfter = std::chrono::milliseconds(1600);
+  settings.mTiming.mDeadAfter = std::chrono::milliseconds(3200);
+  settings.mTiming.mFreshEvidence = std::chrono::milliseconds(1000);
+  settings.mTiming.mLateTick = std::chrono::milliseconds(800);
+  return settings;
+}
+
+std::uint64_t RandomSeed()
+{
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+} // namespace
+
+struct EntryNode::Impl
+{
+  Impl(http::Loop& aLoop, EntrySettings aSettings,
+       const Translator& aTranslator);
+
+  void OnTick();
+  void OnRequest(const std::shared_ptr<http::ServerExchange>& aExchange);
+  void OnViewChanged();
+  void Apply(const upstreams::UpstreamEvents& aEvents);
+  void JoinOnce();
+  base::Duration LongestColdTime() const;
+  bool IsWorkLeft() const;
+
+  struct EventVisitor;
+
+  http::Loop& mLoop;
+  EntrySettings mSettings;
+  base::Random mRandom{ RandomSeed() };
+  telemetry::Metrics mMetrics;
+  http::Client mClient;
+  Services mServices;
+  upstreams::UpstreamBook mBook;
+  HealthChecks mChecks;
+  peer::Transport mTransport;
+  cluster::ClusterNode mCluster;
+  http::Server mFront;
+  http::Loop::TimerId mTick;
+  bool mHasJoined = false;
+  bool mHasUpstreams = false;
+  std::optional<base::TimePoint> mStopBegin;
+  std::function<void()> mStopped;
+};
+
+struct EntryNode::Impl::EventVisitor
+{
+  Impl& mNode;
+
+  void operator()(const upstreams::UpstreamAppeared& aEvent) const
+  {
+    const upstreams::UpstreamRecord& it = aEvent.mRecord;
+    mNode.mServices.mEndpoints[it.mId] = { it.mAddress, it.mPort };
+    const auto region = mNode.mSettings.mRegions.find(it.mDataCentre);
+    placing::UpstreamSpec spec{ it.mId, it.mService, it.mDataCentre,
+                                region == mNode.mSettings.mRegions.end()
+                                  ? base::RegionId()
+                                  : region->second,
+                                it.mSlots };
+    spec.mColdRate = mNode.mServices.mRoutes.Policy(it.mService).mColdRate;
+    mNode.mServices.mPlacement.Add(mNode.mLoop.Now(), spec, it.mColdRemaining);
+    Log("upstream_appeared", it);
+  }
+  void operator()(const upstreams::UpstreamChanged& aEvent) const
+  {
+    mNode.mServices.mPlacement.SetCold(mNode.mLoop.Now(), aEvent.mRecord.mId,
+                                       aEvent.mRecord.mColdRemaining);
+    Log("upstream_changed", aEvent.mRecord);
+  }
+  void operator()(const upstreams::UpstreamLeaving& aEvent) const
+  {
+    mNode.mServices.mPlacement.SetLeaving(aEvent.mId);
+    base::LogInfo(base::LogLine("upstream_leaving").With("id", aEvent.mId));
+  }
+  void operator()(const upstreams::UpstreamGone& aEvent) const
+  {
+    const auto endpoint = mNode.mServices.mEndpoints.find(aEvent.mId);
+    if (endpoint != mNode.mServices.mEndpoints.end()) {
+      mNode.mClient.CloseIdle(endpoint->second);
+      mNode.mServices.mEndpoints.erase(endpoint);
+    }
+    mNode.mServices.mPlacement.Remove(aEvent.mId);
+    base::LogInfo(base::LogLine("upstream_gone").With("id", aEvent.mId));
+  }
+
+  static void Log(std::string_view aEvent,
+                  const upstreams::UpstreamRecord& aRecord)
+  {
+    base::LogInfo(
+      base::LogLine(aEvent)
+        .With("id", aRecord.mId)
+        .With("service", aRecord.mService)
+        .With("address",
+              aRecord.mAddress + ':' + std::to_string(aRecord.mPort.Count()))
+        .With("data_centre", aRecord.mDataCentre)
+        .With("slots", aRecord.mSlots)
+        .With("cold_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                           aRecord.mColdRemaining)
+                           .count()));
+  }
+};
+
+EntryNode::Impl::Impl(http::Loop& aLoop, EntrySettings aSettings,
+                      const Translator& aTranslator)
+  : mLoop(aLoop)
+  , mSettings(std::move(aSettings))
+  , mClient(aLoop, UpstreamConnections(mSettings))
+  , mServices{ aLoop,
+               mClient,
+               mMetrics,
+               aTranslator,
+               mSettings,
+               {},
+               {},
+               placing::Placement({}, mSettings.mDataCentre, mSettings.mRegion) }
+  , mChecks(mServices)
+  , mTransport(
+      aLoop,
+      { mSettings.mHost, base::Incarnation(1), mSettings.mPeer, std::nullopt },
+      [this](const protocol::Envelope& aIt) { mCluster.OnMessage(aIt); })
+  , mCluster(
+      aLoop, mMetrics, base::Random(mRandom.Next()), MakeMembership(mSettings),
+      mTransport, [this] { OnViewChanged(); },
+      [](const http::Endpoint& /*aPeer*/, base::ConfigVersion /*aVersion*/) {})
+  , mFront(aLoop, mSettings.mFront,
+           [this](const std::shared_ptr<http::ServerExchange>& aExchange) {
+             OnRequest(aExchange);
+           })
+{
+  mTick = mLoop.Every(kTick, [this] { OnTick(); });
+}
+
+void EntryNode::Impl::OnRequest(
+  const std::shared_ptr<http::ServerExchange>& aExchange)
+{
+  std::make_shared<Carrier>(mServices, aExchange)->Start();
+}
+
+void EntryNode::Impl::OnViewChanged()
+{
+  mServices.mHosts = std::max<std::size_t>(mCluster.LiveHosts().size(), 1);
+  mServices.mPlacement.SetHostCount(mServices.mHosts);
+}
+
+void EntryNode::Impl::JoinOnce()
+{
+  if (!mHasJoined && !mServices.mRoutes.IsEmpty() && mHasUpstreams) {
+    mHasJoined = true;
+    mCluster.Start();
+    base::LogInfo(base::LogLine("ready")
+                    .With("config", mServices.mRoutes.Version())
+                    .With("upstreams", mBook.Size()));
+  }
+}
+
+void EntryNode::Impl::OnTick()
+{
+  Apply(mBook.OnTick(mLoop.Now()));
+  mChecks.OnTick();
+  if (!mStopBegin) {
+    return;
+  }
+  const base::Duration elapsed = mLoop.Now() - *mStopBegin;
+  const auto quiet = std::chrono::duration_cast<base::Duration>(
+    mSettings.mStopGrace * kQuietAfter);
+  if (elapsed >= quiet) {
+    mFront.StopListening();
+    mFront.CloseIdle();
+  }
+  const bool isOver = elapsed >= mSettings.mStopGrace - kStopMargin;
+  if (isOver || (elapsed >= quiet && !IsWorkLeft())) {
+    mStopBegin.reset();
+    mStopped();
+  }
+}
+
+bool EntryNode::Impl::IsWorkLeft() const
+{
+  return mServices.mOpenRequests > 0 || mFront.ActiveExchanges() > 0;
+}
+
+base::Duration EntryNode::Impl::LongestColdTime() const
+{
+  base::Duration longest{};
+  for (const auto& [id, policy] : mServices.mRoutes.Current().mServices) {
+    longest = std::max(longest, policy.mColdTime);
+  }
+  return longest;
+}
+
+void EntryNode::Impl::Apply(const upstreams::UpstreamEvents& aEvents)
+{
+  for (const upstreams::UpstreamEvent& it : aEvents) {
+    std::visit(EventVisitor{ *this }, it);
+  }
+}
+
+EntryNode::EntryNode(http::Loop& aLoop, EntrySettings aSettings,
+                     const Translator& aTranslator)
+  : mImpl(std::make_unique<Impl>(aLoop, std::move(aSettings), aTranslator))
+{
+}
+
+EntryNode::~EntryNode()
+{
+  mImpl->mLoop.Cancel(mImpl->mTick);
+}
+
+bool EntryNode::IsReady() const
+{
+  return mImpl->mHasJoined && !mImpl->mServices.mIsStopping;
+}
+
+std::vector<http::Endpoint> EntryNode::Lookup(
+  const base::DataCentreId& aCentre, const base::RegionId& aRegion) const
+{
+  return ChooseHosts(mImpl->mCluster.LiveHosts(), aCentre, aRegion);
+}
+
+std::vector<membership::HostView> EntryNode::LiveHosts() const
+{
+  return mImpl->mCluster.LiveHosts();
+}
+
+std::string EntryNode::MetricsText()
+{
+  return mImpl->mMetrics.PrometheusText(mImpl->mLoop.Now());
+}
+
+void EntryNode::Stop(std::function<void()> aDone)
+{
+  if (mImpl->mServices.mIsStopping) {
+    return;
+  }
+  mImpl->mServices.mIsStopping = true;
+  mImpl->mStopBegin = mImpl->mLoop.Now();
+  mImpl->mStopped = std::move(aDone);
+  mImpl->mCluster.StartLeaving();
+  mImpl->mFront.CloseAfterResponses();
+}
+
+void EntryNode::Reload(const EntrySettings& aSettings)
+{
+  mImpl->mSettings.mStopGrace = aSettings.mStopGrace;
+  mImpl->mSettings.mLookupLifetime = aSettings.mLookupLifetime;
+  mImpl->mSettings.mRepeats = aSettings.mRepeats;
+}
+
+void EntryNode::OnConfiguration(routing::Configuration aConfiguration)
+{
+  routing::RouteTable& routes = mImpl->mServices.mRoutes;
+  const base::ConfigVersion version = aConfiguration.mVersion;
+  if (!routes.Update(std::move(aConfiguration))) {
+    return;
+  }
+  const routing::RequestLimits& limits = routes.Current().mLimits;
+  mImpl->mFront.SetLimits({ limits.mMaxHead, limits.mMaxBody,
+                            limits.mHeadTimeout, limits.mIdleTimeout });
+  base::LogInfo(base::LogLine("config_in_force")
+                  .With("version", version)
+                  .With("routes", routes.Current().mRoutes.size()));
+  mImpl->mServices.mPlacement.SetColdRates(
+    [&routes](const base::ServiceId& aService) {
+      return routes.Policy(aService).mColdRate;
+    });
+  mImpl->JoinOnce();
+}
+
+void EntryNode::OnUpstreamList(
+  const std::vector<upstreams::UpstreamRecord>& aRecords)
+{
+  mImpl->mHasUpstreams = true;
+  mImpl->Apply(mImpl->mBook.OnList(mImpl->mLoop.Now(), aRecords));
+  mImpl->JoinOnce();
+}
+
+void EntryNode::OnUpstream(const upstreams::UpstreamRecord& aRecord)
+{
+  mImpl->Apply(mImpl->mBook.OnRecord(mImpl->mLoop.Now(), aRecord));
+}
+
+void EntryNode::OnUpstreamRemoved(const base::UpstreamId& aId)
+{
+  mImpl->Apply(mImpl->mBook.OnRemoved(mImpl->mLoop.Now(), aId));
+}
+
+void EntryNode::OnEvacuations(std::set<base::DataCentreId> aCentres)
+{
+  base::LogLine line("evacuations");
+  for (const base::DataCentreId& it : aCentres) {
+    line.With("data_centre", it);
+  }
+  base::LogInfo(line);
+  mImpl->mServices.mPlacement.SetEvacuated(
+    mImpl->mLoop.Now(), std::move(aCentres), mImpl->LongestColdTime());
+}
+
+void EntryNode::OnStoreLost()
+{
+  base::LogWarning(base::LogLine("store_lost"));
+  mImpl->mBook.OnSourceLost(mImpl->mLoop.Now());
+}
+
+void EntryNode::OnStoreBack()
+{
+  base::LogInfo(base::LogLine("store_back"));
+  mImpl->mBook.OnSourceBack(mImpl->mLoop.Now());
+}
+
+} // namespace auburnmux::entry
--- /dev/null
+++ b/packages/entry/src/StateSink.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/Base.h"
+#include "routing/Routing.h"
+#include "upstreams/Upstreams.h"
+
+#include <set>
+#include <vector>
+
+namespace auburnmux::entry {
+
+/** Takes the state that a store keeps, as it is read. */
+class StateSink
+{
+public:
+  virtual ~StateSink() = default;
+  virtual void OnConfiguration(routing::Configuration aConfiguration) = 0;
+  virtual void OnUpstreamList(
+    const std::vector<upstreams::UpstreamRecord>& aRecords) = 0;
+  virtual void OnUpstream(const upstreams::UpstreamRecord& aRecord) = 0;
+  virtual void OnUpstreamRemoved(const base::UpstreamId& aId) = 0;
+  virtual void OnEvacuations(std::set<base::DataCentreId> aCentres) = 0;
+  /** The store doesn't answer this host. */
+  virtual void OnStoreLost() = 0;
+  virtual void OnStoreBack() = 0;
+};
+
+} // namespace auburnmux::entry
--- a/packages/objects/src/Backoff.cpp
+++ b/packages/objects/src/Backoff.cpp
@@ -1,9 +1,9 @@
-#include "platform/src/Backoff.h"
+#include "objects/src/Backoff.h"
 
 #include <algorithm>
 #include <cassert>
 
-namespace auburnmux::platform {
+namespace auburnmux::objects {
 
 Backoff::Backoff(base::Duration aBase, base::Duration aCap)
   : mBase(aBase)
@@ -23,4 +23,4 @@
   return base::Duration(static_cast<base::Duration::rep>(aRandom.Below(range)));
 }
 
-} // namespace auburnmux::platform
+} // namespace auburnmux::objects
--- a/packages/objects/src/Backoff.h
+++ b/packages/objects/src/Backoff.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace auburnmux::platform {
+namespace auburnmux::objects {
 
 /**
  * Exponential backoff with full jitter: the n-th delay is random between 0
@@ -29,4 +29,4 @@
   std::uint32_t mFailures = 0;
 };
 
-} // namespace auburnmux::platform
+} // namespace auburnmux::objects
--- a/packages/objects/src/CallBudget.cpp
+++ b/packages/objects/src/CallBudget.cpp
@@ -1,9 +1,9 @@
-#include "platform/src/CallBudget.h"
+#include "objects/src/CallBudget.h"
 
 #include <algorithm>
 #include <cassert>
 
-namespace auburnmux::platform {
+namespace auburnmux::objects {
 
 namespace {
 
@@ -77,4 +77,4 @@
   return mBuckets[IndexOf(aPurpose)].mCounts;
 }
 
-} // namespace auburnmux::platform
+} // namespace auburnmux::objects
--- a/packages/objects/src/CallBudget.h
+++ b/packages/objects/src/CallBudget.h
@@ -6,7 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace auburnmux::platform {
+namespace auburnmux::objects {
 
 /** Why a call is made; each purpose has a budget and counters of its own. */
 enum class CallPurpose : std::uint8_t
@@ -69,4 +69,4 @@
   std::array<Bucket, kCallPurposes> mBuckets;
 };
 
-} // namespace auburnmux::platform
+} // namespace auburnmux::objects
--- a/packages/objects/src/CallResult.h
+++ b/packages/objects/src/CallResult.h
@@ -1,15 +1,15 @@
 #pragma once
 
 #include "base/Base.h"
-#include "platform/src/HostList.h"
-#include "platform/src/ObjectList.h"
+#include "objects/src/HostList.h"
+#include "objects/src/ObjectList.h"
 
 #include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
 
-namespace auburnmux::platform {
+namespace auburnmux::objects {
 
 /** The value of an object and its version. */
 struct ObjectFound
@@ -69,4 +69,4 @@
 using HostsResult =
   std::variant<std::vector<ListedHost>, CallRefused, CallUnanswered>;
 
-} // namespace auburnmux::platform
+} // namespace auburnmux::objects
--- a/packages/objects/src/HostList.cpp
+++ b/packages/objects/src/HostList.cpp
@@ -1,11 +1,11 @@
-#include "platform/src/HostList.h"
+#include "objects/src/HostList.h"
 
 #include "config/src/JsonReader.h"
 #include "config/src/ObjectReader.h"
 
 #include <charconv>
 
-namespace auburnmux::platform {
+namespace auburnmux::objects {
 
 namespace {
 
@@ -76,4 +76,4 @@
   return hosts;
 }
 
-} // namespace auburnmux::platform
+} // namespace auburnmux::objects
--- a/packages/objects/src/HostList.h
+++ b/packages/objects/src/HostList.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace auburnmux::platform {
+namespace auburnmux::objects {
 
 /** One host of the platform's list, which lags behind reality. */
 struct ListedHost
@@ -26,4 +26,4 @@
  */
 std::optional<std::vector<ListedHost>> ParseHostList(std::string_view aText);
 
-} // namespace auburnmux::platform
+} // namespace auburnmux::objects
--- a/packages/objects/src/ObjectList.cpp
+++ b/packages/objects/src/ObjectList.cpp
@@ -1,9 +1,9 @@
-#include "platform/src/ObjectList.h"
+#include "objects/src/ObjectList.h"
 
 #include "config/src/JsonReader.h"
 #include "config/src/ObjectReader.h"
 
-namespace auburnmux::platform {
+namespace auburnmux::objects {
 
 std::optional<std::vector<ListedObject>> ParseObjectList(std::string_view aText)
 {
@@ -39,4 +39,4 @@
   return objects;
 }
 
-} // namespace auburnmux::platform
+} // namespace auburnmux::objects
--- a/packages/objects/src/ObjectList.h
+++ b/packages/objects/src/ObjectList.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace auburnmux::platform {
+namespace auburnmux::objects {
 
 /** Name and version of one object. */
 struct ListedObject
@@ -24,4 +24,4 @@
 std::optional<std::vector<ListedObject>> ParseObjectList(
   std::string_view aText);
 
-} // namespace auburnmux::platform
+} // namespace auburnmux::objects
--- a/packages/objects/src/PlatformClient.cpp
+++ b/packages/objects/src/PlatformClient.cpp
@@ -1,9 +1,9 @@
-#include "platform/src/PlatformClient.h"
+#include "objects/src/PlatformClient.h"
 
 #include <charconv>
 #include <optional>
 
-namespace auburnmux::platform {
+namespace auburnmux::objects {
 
 namespace {
 
@@ -224,4 +224,4 @@
   });
 }
 
-} // namespace auburnmux::platform
+} // namespace auburnmux::objects
--- a/packages/objects/src/PlatformClient.h
+++ b/packages/objects/src/PlatformClient.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "http/Http.h"
-#include "platform/src/CallBudget.h"
-#include "platform/src/CallResult.h"
+#include "objects/src/CallBudget.h"
+#include "objects/src/CallResult.h"
 
 #include <functional>
 #include <string>
 #include <variant>
 
-namespace auburnmux::platform {
+namespace auburnmux::objects {
 
 /** Create the object; an existing one is a conflict. */
 struct IfAbsent
@@ -82,4 +82,4 @@
   CallBudget mBudget;
 };
 
-} // namespace auburnmux::platform
+} // namespace auburnmux::objects
--- a/packages/objects/src/ReconnectWindow.h
+++ b/packages/objects/src/ReconnectWindow.h
@@ -6,7 +6,7 @@
 #include <chrono>
 #include <cstdint>
 
-namespace auburnmux::platform {
+namespace auburnmux::objects {
 
 /** Live hosts as a host's membership view counts them. */
 using HostCount = base::Quantity<struct HostCountTag, std::uint32_t>;
@@ -27,4 +27,4 @@
     aRandom.Below(static_cast<std::uint64_t>(window.count()) + 1)));
 }
 
-} // namespace auburnmux::platform
+} // namespace auburnmux::objects
--- a/packages/objects/test/CallBudgetTest.cpp
+++ b/packages/objects/test/CallBudgetTest.cpp
@@ -1,9 +1,9 @@
-#include "platform/Platform.h"
+#include "objects/Objects.h"
 
 #include "base/test/support/Property.h"
 
 using namespace auburnmux;
-using namespace auburnmux::platform;
+using namespace auburnmux::objects;
 
 TEST_GROUP(CallBudget){};
 
--- a/packages/objects/test/PlatformClientTest.cpp
+++ b/packages/objects/test/PlatformClientTest.cpp
@@ -1,11 +1,11 @@
-#include "platform/Platform.h"
+#include "objects/Objects.h"
 
 #include "base/test/support/Property.h"
 
 #include <optional>
 
 using namespace auburnmux;
-using namespace auburnmux::platform;
+using namespace auburnmux::objects;
 
 namespace {
 
--- /dev/null
+++ b/packages/placing/Placing.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "placing/src/PlacingSettings.h"
+
+#include "placing/src/LoadReport.h"
+
+#include "placing/src/TokenBucket.h"
+
+#include "placing/src/UpstreamGauge.h"
+
+#include "placing/src/WorkEstimates.h"
+
+#include "placing/src/WarmObjects.h"
+
+#include "placing/src/Placement.h"
--- /dev/null
+++ b/packages/placing/src/Placement.cpp
@@ -0,0 +1,345 @@
+#include "placing/src/Placement.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace auburnmux::placing {
+
+namespace {
+
+/** Weight of one measured round trip. */
+constexpr double kTripWeight = 0.2;
+
+/** Retry-After when no estimate of the wait exists. */
+constexpr base::Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
+
+constexpr double kBytesPerKilobyte = 1000;
+
+base::Duration Scale(base::Duration aTime, double aFactor)
+{
+  return std::chrono::duration_cast<base::Duration>(aTime * aFactor);
+}
+
+template<typename Item>
+bool Contains(const std::vector<Item>& aItems, const Item& aItem)
+{
+  return std::find(aItems.begin(), aItems.end(), aItem) != aItems.end();
+}
+
+} // namespace
+
+Placement::Placement(PlacingSettings aSettings, base::DataCentreId aHere,
+                     base::RegionId aRegion)
+  : mSettings(aSettings)
+  , mHere(std::move(aHere))
+  , mRegion(std::move(aRegion))
+{
+}
+
+double Placement::ColdRate(const UpstreamSpec& aSpec) const
+{
+  return aSpec.mColdRate * mSettings.mColdShare / static_cast<double>(mHosts);
+}
+
+void Placement::Add(base::TimePoint aNow, const UpstreamSpec& aSpec,
+                    base::Duration aColdFor)
+{
+  Remove(aSpec.mId);
+  auto upstream = std::make_unique<Upstream>(
+    Upstream{ aSpec, UpstreamGauge(mSettings, aSpec.mSlots),
+              base::Hash64(aSpec.mId.Text()), false,
+              mEvacuated.count(aSpec.mDataCentre) > 0, aNow + aColdFor,
+              TokenBucket(ColdRate(aSpec), 1), WarmObjects() });
+  mServices[aSpec.mService].push_back(upstream.get());
+  mUpstreams[aSpec.mId] = std::move(upstream);
+}
+
+void Placement::Remove(const base::UpstreamId& aId)
+{
+  const auto it = mUpstreams.find(aId);
+  if (it == mUpstreams.end()) {
+    return;
+  }
+  Service& service = mServices[it->second->mSpec.mService];
+  service.erase(std::remove(service.begin(), service.end(), it->second.get()),
+                service.end());
+  if (service.empty()) {
+    mServices.erase(it->second->mSpec.mService);
+  }
+  mUpstreams.erase(it);
+}
+
+Placement::Upstream* Placement::Find(const base::UpstreamId& aId)
+{
+  const auto it = mUpstreams.find(aId);
+  return it == mUpstreams.end() ? nullptr : it->second.get();
+}
+
+const UpstreamGauge* Placement::Gauge(const base::UpstreamId& aId) const
+{
+  const auto it = mUpstreams.find(aId);
+  return it == mUpstreams.end() ? nullptr : &it->second->mGauge;
+}
+
+void Placement::SetLeaving(const base::UpstreamId& aId)
+{
+  if (Upstream* upstream = Find(aId)) {
+    upstream->mIsLeaving = true;
+  }
+}
+
+void Placement::SetCold(base::TimePoint aNow, const base::UpstreamId& aId,
+                        base::Duration aColdFor)
+{
+  Upstream* upstream = Find(aId);
+  if (upstream == nullptr) {
+    return;
+  }
+  const bool wasCold = upstream->mColdUntil > aNow;
+  upstream->mColdUntil = aNow + aColdFor;
+  if (!wasCold && aColdFor > base::Duration::zero()) {
+    upstream->mWarm.Clear();
+  }
+}
+
+void Placement::SetEvacuated(base::TimePoint aNow,
+                             std::set<base::DataCentreId> aCentres,
+                             base::Duration aColdFor)
+{
+  mEvacuated = std::move(aCentres);
+  for (const auto& [id, upstream] : mUpstreams) {
+    const bool isEvacuated = mEvacuated.count(upstream->mSpec.mDataCentre) > 0;
+    const bool was = std::exchange(upstream->mIsEvacuated, isEvacuated);
+    if (was && !isEvacuated) {
+      upstream->mColdUntil = std::max(upstream->mColdUntil, aNow + aColdFor);
+    }
+  }
+}
+
+void Placement::SetColdRates(
+  const std::function<double(const base::ServiceId&)>& aRateOf)
+{
+  for (const auto& [id, upstream] : mUpstreams) {
+    upstream->mSpec.mColdRate = aRateOf(upstream->mSpec.mService);
+    upstream->mColdTokens.SetRate(ColdRate(upstream->mSpec));
+  }
+}
+
+std::optional<base::ServiceId> Placement::ServiceOf(
+  const base::UpstreamId& aId) const
+{
+  const auto it = mUpstreams.find(aId);
+  return it == mUpstreams.end() ? std::nullopt
+                                : std::optional(it->second->mSpec.mService);
+}
+
+void Placement::SetHostCount(std::size_t aHosts)
+{
+  mHosts = std::max<std::size_t>(aHosts, 1);
+  for (const auto& [id, upstream] : mUpstreams) {
+    upstream->mColdTokens.SetRate(ColdRate(upstream->mSpec));
+  }
+}
+
+void Placement::OnTrip(const base::DataCentreId& aCentre, base::Duration aTrip)
+{
+  const auto [it, isNew] = mTrips.try_emplace(aCentre, aTrip);
+  if (!isNew) {
+    it->second += Scale(aTrip - it->second, kTripWeight);
+  }
+}
+
+base::Duration Placement::Trip(const Upstream& aUpstream) const
+{
+  const auto it = mTrips.find(aUpstream.mSpec.mDataCentre);
+  if (it != mTrips.end()) {
+    return it->second;
+  }
+  if (aUpstream.mSpec.mDataCentre == mHere) {
+    return mSettings.mSameCentreTrip;
+  }
+  return aUpstream.mSpec.mRegion == mRegion ? mSettings.mSameRegionTrip
+                                            : mSettings.mOtherRegionTrip;
+}
+
+base::Duration Placement::TransferCost(const Upstream& aUpstream,
+                                       base::ByteCount aBytes) const
+{
+  if (aUpstream.mSpec.mDataCentre == mHere) {
+    return {};
+  }
+  const double kilobytes =
+    static_cast<double>(aBytes.Count()) / kBytesPerKilobyte;
+  return Scale(aUpstream.mSpec.mRegion == mRegion ? mSettings.mCentreKilobyte
+                                                  : mSettings.mRegionKilobyte,
+               kilobytes);
+}
+
+bool Placement::IsUsable(base::TimePoint aNow, const Upstream& aUpstream,
+                         const PlaceRequest& aRequest) const
+{
+  if (aUpstream.mIsLeaving || aUpstream.mIsEvacuated ||
+      aUpstream.mGauge.IsPaused()) {
+    return false;
+  }
+  if (!aRequest.mAllowedRegions.empty() &&
+      !Contains(aRequest.mAllowedRegions, aUpstream.mSpec.mRegion)) {
+    return false;
+  }
+  if (Contains(aRequest.mTried, aUpstream.mSpec.mId)) {
+    return false;
+  }
+  const bool isLimited =
+    aUpstream.mColdUntil > aNow && aUpstream.mSpec.mColdRate > 0;
+  return !isLimited || aUpstream.mColdTokens.CanTake(aNow);
+}
+
+std::map<base::RegionId, const Placement::Upstream*> Placement::Primaries(
+  const std::vector<Upstream*>& aUpstreams, ObjectHash aObject) const
+{
+  struct Best
+  {
+    const Upstream* mUpstream = nullptr;
+    std::uint64_t mScore = 0;
+  };
+  std::map<base::RegionId, Best> best;
+  for (const Upstream* it : aUpstreams) {
+    if (it->mIsLeaving || it->mIsEvacuated) {
+      continue;
+    }
+    const std::uint64_t score = base::CombineHash(it->mHash, aObject.Count());
+    Best& region = best[it->mSpec.mRegion];
+    if (region.mUpstream == nullptr || score > region.mScore) {
+      region = { it, score };
+    }
+  }
+  std::map<base::RegionId, const Upstream*> primaries;
+  for (const auto& [region, it] : best) {
+    primaries[region] = it.mUpstream;
+  }
+  return primaries;
+}
+
+Warmth Placement::WarmthOf(
+  const Upstream& aUpstream, const PlaceRequest& aRequest,
+  const std::map<base::RegionId, const Upstream*>& aPrimaries) const
+{
+  if (!aRequest.mObject) {
+    return Warmth::None;
+  }
+  if (aUpstream.mWarm.Contains(*aRequest.mObject)) {
+    return Warmth::Recent;
+  }
+  const auto it = aPrimaries.find(aUpstream.mSpec.mRegion);
+  if (it == aPrimaries.end() || it->second != &aUpstream) {
+    return Warmth::None;
+  }
+  return aUpstream.mSpec.mRegion == mRegion ? Warmth::Primary
+                                            : Warmth::RemotePrimary;
+}
+
+Placement::Candidate Placement::Rate(base::TimePoint aNow, Upstream& aUpstream,
+                                     Warmth aWarmth,
+                                     const PlaceRequest& aRequest) const
+{
+  const UpstreamGauge& gauge = aUpstream.mGauge;
+  const base::Duration work =
+    mWork.Expect(aRequest.mKind, aWarmth, aRequest.mLatencyTarget);
+  Candidate candidate;
+  candidate.mUpstream = &aUpstream;
+  candidate.mWarmth = aWarmth;
+  candidate.mExpected =
+    Trip(aUpstream) + gauge.Wait(aNow) + Scale(work, gauge.Slowness(aNow));
+  candidate.mCost = candidate.mExpected + gauge.Silence(aNow) +
+                    TransferCost(aUpstream, aRequest.mBytes) +
+                    Scale(aRequest.mLatencyTarget,
+                          mSettings.mFailureTargets * gauge.FailureShare(aNow));
+  return candidate;
+}
+
+PlaceDecision Placement::Place(base::TimePoint aNow,
+                               const PlaceRequest& aRequest)
+{
+  const auto service = mServices.find(aRequest.mService);
+  if (service == mServices.end()) {
+    return NoUpstream{ kDefaultRetryAfter };
+  }
+  std::map<base::RegionId, const Upstream*> primaries;
+  if (aRequest.mObject) {
+    primaries = Primaries(service->second, *aRequest.mObject);
+  }
+  Candidate best;
+  for (Upstream* it : service->second) {
+    if (IsUsable(aNow, *it, aRequest)) {
+      const Candidate candidate =
+        Rate(aNow, *it, WarmthOf(*it, aRequest, primaries), aRequest);
+      if (candidate.mCost < best.mCost) {
+        best = candidate;
+      }
+    }
+  }
+  if (best.mUpstream == nullptr) {
+    return NoUpstream{ kDefaultRetryAfter };
+  }
+  if (best.mExpected > aRequest.mTimeLeft) {
+    return NoRoom{ best.mExpected - aRequest.mTimeLeft + kDefaultRetryAfter };
+  }
+  Upstream& upstream = *best.mUpstream;
+  upstream.mGauge.OnSent(aNow);
+  if (upstream.mColdUntil > aNow && upstream.mSpec.mColdRate > 0) {
+    upstream.mColdTokens.Take(aNow);
+  }
+  if (aRequest.mObject) {
+    upstream.mWarm.Touch(*aRequest.mObject);
+  }
+  return Placed{ upstream.mSpec.mId, best.mWarmth, best.mExpected };
+}
+
+void Placement::OnResult(base::TimePoint aNow, const PlaceRequest& aRequest,
+                         const PlacedResult& aResult)
+{
+  Upstream* upstream = Find(aResult.mUpstream);
+  if (upstream == nullptr || upstream->mGauge.Own() == 0) {
+    return; // its process was replaced
+  }
+  std::optional<base::Duration> work;
+  if (aResult.mElapsed && aResult.mOutcome == Outcome::Answered) {
+    work = std::max(*aResult.mElapsed - Trip(*upstream),
+                    base::Duration(std::chrono::milliseconds(1)));
+    mWork.Learn(aRequest.mKind, aResult.mWarmth, *work,
+                aRequest.mLatencyTarget);
+  }
+  upstream->mGauge.OnEnded(aNow, aResult.mOutcome, work);
+  if (aResult.mReport) {
+    upstream->mGauge.OnReport(aNow, *aResult.mReport);
+  }
+}
+
+std::vector<base::UpstreamId> Placement::DueChecks(base::TimePoint aNow)
+{
+  std::vector<base::UpstreamId> due;
+  for (const auto& [id, upstream] : mUpstreams) {
+    const auto until = upstream->mGauge.PausedUntil();
+    if (until && *until <= aNow && !upstream->mIsLeaving) {
+      upstream->mGauge.PostponeCheck(aNow);
+      due.push_back(id);
+    }
+  }
+  return due;
+}
+
+void Placement::OnCheck(base::TimePoint aNow, const base::UpstreamId& aId,
+                        bool aIsHealthy, base::Duration aColdFor)
+{
+  Upstream* upstream = Find(aId);
+  if (upstream == nullptr || !upstream->mGauge.IsPaused()) {
+    return;
+  }
+  if (aIsHealthy) {
+    upstream->mGauge.OnHealthy(aNow);
+    SetCold(aNow, aId, aColdFor);
+  }
+}
+
+} // namespace auburnmux::placing
--- /dev/null
+++ b/packages/placing/src/Placement.h
@@ -0,0 +1,187 @@
+#pragma once
+
+#include "placing/src/LoadReport.h"
+#include "placing/src/PlacingSettings.h"
+#include "placing/src/TokenBucket.h"
+#include "placing/src/UpstreamGauge.h"
+#include "placing/src/WarmObjects.h"
+#include "placing/src/WorkEstimates.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace auburnmux::placing {
+
+/** An upstream as the placement sees it. */
+struct UpstreamSpec
+{
+  base::UpstreamId mId;
+  base::ServiceId mService;
+  base::DataCentreId mDataCentre;
+  base::RegionId mRegion;
+  base::SlotCount mSlots;
+  /** Requests a second that all hosts may send it while it is cold; 0 has no
+   * limit. */
+  double mColdRate = 0;
+};
+
+/** A request that needs an upstream. */
+struct PlaceRequest
+{
+  base::ServiceId mService;
+  /** Names what kind of work it is, for the estimate of its time. */
+  std::string mKind;
+  std::optional<ObjectHash> mObject;
+  base::Duration mLatencyTarget{};
+  /** Time after which a response is of no use. */
+  base::Duration mTimeLeft{};
+  /** Bytes that travel to the upstream and back. */
+  base::ByteCount mBytes;
+  /** Regions that may handle it; empty allows all. */
+  std::vector<base::RegionId> mAllowedRegions;
+  /** Upstreams that were tried already. */
+  std::vector<base::UpstreamId> mTried;
+};
+
+/** The upstream that serves the request best. */
+struct Placed
+{
+  base::UpstreamId mUpstream;
+  Warmth mWarmth = Warmth::None;
+  /** Time until the response, as estimated. */
+  base::Duration mExpected{};
+};
+
+/** No upstream could answer in time. */
+struct NoRoom
+{
+  /** When there is likely to be room. */
+  base::Duration mRetryAfter{};
+};
+
+/** No upstream may be used at all. */
+struct NoUpstream
+{
+  base::Duration mRetryAfter{};
+};
+
+using PlaceDecision = std::variant<Placed, NoRoom, NoUpstream>;
+
+/** How a request ended at its upstream. */
+struct PlacedResult
+{
+  base::UpstreamId mUpstream;
+  Outcome mOutcome = Outcome::Abandoned;
+  Warmth mWarmth = Warmth::None;
+  /** From sending to the response; unset without a response. */
+  std::optional<base::Duration> mElapsed;
+  std::optional<LoadReport> mReport;
+};
+
+/**
+ * Chooses the upstream of each request by the time until its response: round
+ * trip, wait for a slot, work, and the delay that a likely failure costs. Work
+ * on an object is faster where the object was handled lately, so that all
+ * hosts agree on an order of upstreams for each object (rendezvous hashing)
+ * and leave its first one only when waiting there would cost more.
+ */
+class Placement
+{
+public:
+  Placement(PlacingSettings aSettings, base::DataCentreId aHere,
+            base::RegionId aRegion);
+
+  void Add(base::TimePoint aNow, const UpstreamSpec& aSpec,
+           base::Duration aColdFor);
+  void Remove(const base::UpstreamId& aId);
+  /** The upstream gets no new requests. */
+  void SetLeaving(const base::UpstreamId& aId);
+  /** The upstream is cold for another \a aColdFor. */
+  void SetCold(base::TimePoint aNow, const base::UpstreamId& aId,
+               base::Duration aColdFor);
+  /**
+   * Data centres that get nothing. The upstreams of one that is taken back
+   * count as cold for \a aColdFor.
+   */
+  void SetEvacuated(base::TimePoint aNow, std::set<base::DataCentreId> aCentres,
+                    base::Duration aColdFor);
+  /** Takes the services' limits on requests to cold upstreams. */
+  void SetColdRates(
+    const std::function<double(const base::ServiceId&)>& aRateOf);
+  /** Hosts that share the bounds of cold upstreams, this one included. */
+  void SetHostCount(std::size_t aHosts);
+  /** Takes a measured round trip to a data centre. */
+  void OnTrip(const base::DataCentreId& aCentre, base::Duration aTrip);
+
+  /** Chooses an upstream and counts the request there. */
+  PlaceDecision Place(base::TimePoint aNow, const PlaceRequest& aRequest);
+  /** Ends a placed request. */
+  void OnResult(base::TimePoint aNow, const PlaceRequest& aRequest,
+                const PlacedResult& aResult);
+
+  /** \returns paused upstreams whose health check is due. */
+  std::vector<base::UpstreamId> DueChecks(base::TimePoint aNow);
+  /** Ends a health check. \param aColdFor as the upstream said, if it did */
+  void OnCheck(base::TimePoint aNow, const base::UpstreamId& aId,
+               bool aIsHealthy, base::Duration aColdFor);
+
+  /** \returns the service of an upstream; none when it is unknown. */
+  std::optional<base::ServiceId> ServiceOf(const base::UpstreamId& aId) const;
+  /** \returns the gauge of an upstream, or null. */
+  const UpstreamGauge* Gauge(const base::UpstreamId& aId) const;
+
+private:
+  struct Upstream
+  {
+    UpstreamSpec mSpec;
+    UpstreamGauge mGauge;
+    std::uint64_t mHash = 0;
+    bool mIsLeaving = false;
+    bool mIsEvacuated = false;
+    base::TimePoint mColdUntil;
+    TokenBucket mColdTokens;
+    WarmObjects mWarm;
+  };
+  struct Candidate
+  {
+    Upstream* mUpstream = nullptr;
+    Warmth mWarmth = Warmth::None;
+    base::Duration mCost = base::Duration::max();
+    base::Duration mExpected{};
+  };
+  using Service = std::vector<Upstream*>;
+
+  Upstream* Find(const base::UpstreamId& aId);
+  bool IsUsable(base::TimePoint aNow, const Upstream& aUpstream,
+                const PlaceRequest& aRequest) const;
+  std::map<base::RegionId, const Upstream*> Primaries(
+    const std::vector<Upstream*>& aUpstreams, ObjectHash aObject) const;
+  Warmth WarmthOf(
+    const Upstream& aUpstream, const PlaceRequest& aRequest,
+    const std::map<base::RegionId, const Upstream*>& aPrimaries) const;
+  Candidate Rate(base::TimePoint aNow, Upstream& aUpstream, Warmth aWarmth,
+                 const PlaceRequest& aRequest) const;
+  base::Duration Trip(const Upstream& aUpstream) const;
+  base::Duration TransferCost(const Upstream& aUpstream,
+                              base::ByteCount aBytes) const;
+  double ColdRate(const UpstreamSpec& aSpec) const;
+
+  PlacingSettings mSettings;
+  base::DataCentreId mHere;
+  base::RegionId mRegion;
+  std::size_t mHosts = 1;
+  std::set<base::DataCentreId> mEvacuated;
+  std::unordered_map<base::DataCentreId, base::Duration> mTrips;
+  std::unordered_map<base::UpstreamId, std::unique_ptr<Upstream>> mUpstreams;
+  std::unordered_map<base::ServiceId, Service> mServices;
+  WorkEstimates mWork;
+};
+
+} // namespace auburnmux::placing
--- /dev/null
+++ b/packages/placing/src/PlacingSettings.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "base/Base.h"
+
+namespace auburnmux::placing {
+
+/** Constants of the placement. Times are what a request waits longer for. */
+struct PlacingSettings
+{
+  /** Round trips before any was measured. */
+  base::Duration mSameCentreTrip = std::chrono::milliseconds(1);
+  base::Duration mSameRegionTrip = std::chrono::milliseconds(4);
+  base::Duration mOtherRegionTrip = std::chrono::milliseconds(60);
+
+  /**
+   * Delay that one kilobyte between data centres, or regions, may save and
+   * still be worth its transfer.
+   */
+  base::Duration mCentreKilobyte = std::chrono::microseconds(1000);
+  base::Duration mRegionKilobyte = std::chrono::microseconds(3000);
+
+  /** How fast a report of slow work on an upstream's machine goes stale;
+   * neighbours' bursts last some tenths of a second. */
+  base::Duration mSlownessLife = std::chrono::milliseconds(150);
+  /** How fast a report of other hosts' requests goes stale. */
+  base::Duration mReportLife = std::chrono::seconds(2);
+
+  /** Delay that a certain failure counts for, as a multiple of the latency
+   * target: a failed request is repeated or lost. */
+  double mFailureTargets = 4;
+
+  /** Pause after a failed connection; doubles with each up to the longest. */
+  base::Duration mFirstPause = std::chrono::milliseconds(500);
+  base::Duration mLongestPause = std::chrono::seconds(4);
+
+  /** Share of the cold rate that all hosts together use. */
+  double mColdShare = 0.9;
+};
+
+} // namespace auburnmux::placing
--- /dev/null
+++ b/packages/placing/src/UpstreamGauge.cpp
@@ -0,0 +1,157 @@
+#include "placing/src/UpstreamGauge.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace auburnmux::placing {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/** Weight of one sample in the running means. */
+constexpr double kSampleWeight = 0.1;
+
+/** Weight of one outcome in the share of failures. */
+constexpr double kFailureWeight = 0.2;
+
+/** Time after which a share of failures without new samples has halved. */
+constexpr Seconds kFailureHalfLife{ 1.5 };
+
+/** Without any response for this long, requests that time out are taken as a
+ * sign that the upstream is gone. */
+constexpr base::Duration kSilence = std::chrono::milliseconds(500);
+
+double Decay(base::Duration aAge, Seconds aLife)
+{
+  return std::exp(-Seconds(aAge) / aLife);
+}
+
+} // namespace
+
+UpstreamGauge::UpstreamGauge(const PlacingSettings& aSettings,
+                             base::SlotCount aSlots)
+  : mSettings(&aSettings)
+  , mSlots(aSlots)
+{
+}
+
+void UpstreamGauge::OnSent(base::TimePoint aNow)
+{
+  ++mOwn;
+  if (!mSilentSince) {
+    mSilentSince = aNow;
+  }
+}
+
+void UpstreamGauge::OnReport(base::TimePoint aNow, const LoadReport& aReport)
+{
+  const double total = aReport.mRunning + aReport.mWaiting;
+  mOthers = std::max(0.0, total - mOwn);
+  mReportedAt = aNow;
+  mSlowness = std::max(1.0, aReport.mSlowness);
+  if (aReport.mSlots.Count() > 0) {
+    mSlots = aReport.mSlots;
+  }
+}
+
+void UpstreamGauge::OnEnded(base::TimePoint aNow, Outcome aOutcome,
+                            std::optional<base::Duration> aWork)
+{
+  assert(mOwn > 0);
+  --mOwn;
+  if (aOutcome == Outcome::Answered || aOutcome == Outcome::Rejected) {
+    mPause = {};
+    mPausedUntil.reset();
+  }
+  if (aOutcome != Outcome::Abandoned) {
+    CountOutcome(aNow, aOutcome != Outcome::Answered);
+  }
+  const bool isSilent = aOutcome == Outcome::TimedOut && mSilentSince &&
+                        aNow - *mSilentSince >= kSilence;
+  if (aOutcome == Outcome::Unreachable || isSilent) {
+    Pause(aNow);
+  }
+  const bool isHeard =
+    aOutcome != Outcome::Abandoned && aOutcome != Outcome::TimedOut;
+  if (mOwn == 0) {
+    mSilentSince.reset();
+  } else if (isHeard) {
+    mSilentSince = aNow;
+  }
+  if (aWork) {
+    const double mean = static_cast<double>(mMeanWork.count());
+    const double sample = static_cast<double>(aWork->count());
+    mMeanWork = base::Duration(static_cast<base::Duration::rep>(
+      mean + kSampleWeight * (std::min(sample, 4 * mean) - mean)));
+  }
+}
+
+void UpstreamGauge::CountOutcome(base::TimePoint aNow, bool aIsFailure)
+{
+  const double share = FailureShare(aNow);
+  mFailures = share + kFailureWeight * ((aIsFailure ? 1.0 : 0.0) - share);
+  mFailuresAt = aNow;
+}
+
+void UpstreamGauge::OnHealthy(base::TimePoint aNow)
+{
+  mPausedUntil.reset();
+  mReportedAt = aNow;
+}
+
+void UpstreamGauge::Pause(base::TimePoint aNow)
+{
+  if (mPausedUntil) {
+    return;
+  }
+  mPause =
+    std::clamp(2 * mPause, mSettings->mFirstPause, mSettings->mLongestPause);
+  mPausedUntil = aNow + mPause;
+}
+
+void UpstreamGauge::PostponeCheck(base::TimePoint aNow)
+{
+  mPausedUntil.reset();
+  Pause(aNow);
+}
+
+double UpstreamGauge::Load(base::TimePoint aNow) const
+{
+  return mOwn + mOthers * Decay(aNow - mReportedAt, mSettings->mReportLife);
+}
+
+base::Duration UpstreamGauge::Wait(base::TimePoint aNow) const
+{
+  const double slots = std::max(1.0, static_cast<double>(mSlots.Count()));
+  const double excess = Load(aNow) + 1 - slots;
+  if (excess <= 0) {
+    return {};
+  }
+  return std::chrono::duration_cast<base::Duration>(mMeanWork *
+                                                    (excess / slots));
+}
+
+base::Duration UpstreamGauge::Silence(base::TimePoint aNow) const
+{
+  constexpr int kExplainedWorks = 3;
+  if (!mSilentSince) {
+    return {};
+  }
+  return std::max(aNow - *mSilentSince - kExplainedWorks * mMeanWork,
+                  base::Duration::zero());
+}
+
+double UpstreamGauge::Slowness(base::TimePoint aNow) const
+{
+  return 1 +
+         (mSlowness - 1) * Decay(aNow - mReportedAt, mSettings->mSlownessLife);
+}
+
+double UpstreamGauge::FailureShare(base::TimePoint aNow) const
+{
+  return mFailures * std::exp2(-Seconds(aNow - mFailuresAt) / kFailureHalfLife);
+}
+
+} // namespace auburnmux::placing
--- /dev/null
+++ b/packages/placing/src/UpstreamGauge.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "placing/src/LoadReport.h"
+#include "placing/src/PlacingSettings.h"
+#include "placing/src/TokenBucket.h"
+
+#include <optional>
+
+namespace auburnmux::placing {
+
+/** How a request at an upstream ended. */
+enum class Outcome
+{
+  /** A response that isn't a failure of the upstream. */
+  Answered,
+  /** The upstream said that it did not run the request. */
+  Rejected,
+  /** A failure response, a broken or a malformed one. */
+  Failed,
+  /** No connection could be made. */
+  Unreachable,
+  /** No response came before the request's time was up. */
+  TimedOut,
+  /** The host gave the request up; that says little of the upstream. */
+  Abandoned
+};
+
+/**
+ * Load and soundness of one upstream as one host sees them: its own requests
+ * exactly, those of other hosts by the upstream's latest report.
+ */
+class UpstreamGauge
+{
+public:
+  UpstreamGauge(const PlacingSettings& aSettings, base::SlotCount aSlots);
+
+  void OnSent(base::TimePoint aNow);
+  void OnReport(base::TimePoint aNow, const LoadReport& aReport);
+  /** Ends one request. \param aWork time that the upstream spent on it */
+  void OnEnded(base::TimePoint aNow, Outcome aOutcome,
+               std::optional<base::Duration> aWork);
+  /** A health check passed after a pause. */
+  void OnHealthy(base::TimePoint aNow);
+
+  void SetSlots(base::SlotCount aSlots) { mSlots = aSlots; }
+  base::SlotCount Slots() const { return mSlots; }
+  std::uint32_t Own() const { return mOwn; }
+
+  /** \returns requests of all hosts that it runs or queues. */
+  double Load(base::TimePoint aNow) const;
+  /** \returns how long a new request waits for a slot. */
+  base::Duration Wait(base::TimePoint aNow) const;
+  /** \returns how much longer than usual work takes; at least 1. */
+  double Slowness(base::TimePoint aNow) const;
+  /** \returns the share of requests that fail there, 0 to 1. */
+  double FailureShare(base::TimePoint aNow) const;
+  /** \returns whether it gets no requests because connections failed. */
+  bool IsPaused() const { return mPausedUntil.has_value(); }
+  /** \returns when a health check is due; none while it isn't paused. */
+  std::optional<base::TimePoint> PausedUntil() const { return mPausedUntil; }
+  /** Puts the next health check off. */
+  void PostponeCheck(base::TimePoint aNow);
+  /** \returns how long requests are open there without any response, beyond
+   * what their work explains. */
+  base::Duration Silence(base::TimePoint aNow) const;
+
+private:
+  void CountOutcome(base::TimePoint aNow, bool aIsFailure);
+  void Pause(base::TimePoint aNow);
+
+  const PlacingSettings* mSettings;
+  base::SlotCount mSlots;
+  std::uint32_t mOwn = 0;
+  double mOthers = 0;
+  base::TimePoint mReportedAt;
+  double mSlowness = 1;
+  /** Mean time that a request occupies a slot. */
+  base::Duration mMeanWork = std::chrono::milliseconds(200);
+  double mFailures = 0;
+  base::TimePoint mFailuresAt;
+  std::optional<base::TimePoint> mPausedUntil;
+  base::Duration mPause{};
+  std::optional<base::TimePoint> mSilentSince;
+};
+
+} // namespace auburnmux::placing
--- /dev/null
+++ b/packages/routing/Routing.h
@@ -0,0 +1,7 @@
+#pragma once
+
+#include "routing/src/Configuration.h"
+
+#include "routing/src/RouteTable.h"
+
+#include "routing/src/SplitSelector.h"
--- /dev/null
+++ b/packages/routing/src/Configuration.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "base/Base.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburnmux::routing {
+
+using RouteId = base::StrongId<struct RouteIdTag>;
+/** Importance of a route's requests; 0 is the highest. */
+using Rank = base::Quantity<struct RankTag, std::uint32_t>;
+/** Share of a route's requests, relative to the other parts of its split. */
+using Weight = base::Quantity<struct WeightTag, std::uint32_t>;
+
+/** What a request on a route asks of the system. */
+enum class RequestKind : std::uint8_t
+{
+  /** May run more than once. */
+  Idempotent,
+  /** May run at most once. */
+  Once,
+  /** May run at most once and has a large body. */
+  Upload
+};
+
+/** A service that gets a part of a route's requests. */
+struct SplitPart
+{
+  base::ServiceId mService;
+  Weight mWeight{ 1 };
+};
+
+/** How requests of one host name and path prefix are handled. */
+struct Route
+{
+  RouteId mId;
+  /** In lower case. */
+  std::string mHost;
+  /** Begins and ends with a slash. */
+  std::string mPathPrefix;
+  RequestKind mKind = RequestKind::Once;
+  /** Longest time that a caller is kept waiting; unset has no limit. */
+  std::optional<base::Duration> mTimeout;
+  /** Time within which a response is of full use to the caller. */
+  base::Duration mLatencyTarget = std::chrono::seconds(1);
+  Rank mRank;
+  /** One part for a route without a split. */
+  std::vector<SplitPart> mParts;
+  /** Upstreams to which one request may be sent. */
+  std::uint32_t mMaxAttempts = 1;
+  /** Whether an upstream that handled an object lately works faster on it. */
+  bool mHasAffinity = false;
+  /** Regions in which requests may be handled; empty allows all. */
+  std::vector<base::RegionId> mAllowedRegions;
+};
+
+/** How the upstreams of a service are treated. */
+struct ServicePolicy
+{
+  std::string mHealthPath = "/";
+  /** Connections that one upstream accepts from all callers together. */
+  base::ConnectionCount mMaxConnections{ 1000 };
+  /** How long an upstream stays cold after its start. */
+  base::Duration mColdTime{};
+  /** Requests a second that a cold upstream withstands; 0 has no limit. */
+  double mColdRate = 0;
+};
+
+/** What callers may send. */
+struct RequestLimits
+{
+  base::ByteCount mMaxHead{ 16384 };
+  base::ByteCount mMaxBody{ std::uint64_t{ 64 } << 20U };
+  base::Duration mHeadTimeout = std::chrono::seconds(3);
+  base::Duration mIdleTimeout = std::chrono::seconds(15);
+};
+
+/** A whole configuration. */
+struct Configuration
+{
+  base::ConfigVersion mVersion;
+  std::vector<Route> mRoutes;
+  std::map<base::ServiceId, ServicePolicy> mServices;
+  RequestLimits mLimits;
+};
+
+} // namespace auburnmux::routing
