--- a/packages/entry/src/HealthChecks.cpp
+++ b/packages/entry/src/HealthChecks.cpp
@@ -1,6 +1,7 @@
 #include "entry/src/HealthChecks.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburnmux::entry {
 
@@ -8,6 +9,55 @@
 
 constexpr base::Duration kCheckTimeout = std::chrono::seconds(1);
 
+/** Takes the head of the response; its body, if any, says nothing more. */
+class HeadObserver final : public http::ResponseObserver
+{
+public:
+  using Done = std::function<void(const std::optional<http::ResponseHead>&)>;
+
+  HeadObserver(http::Loop& aLoop, Done aDone)
+    : mLoop(aLoop)
+    , mDone(std::move(aDone))
+  {
+  }
+  ~HeadObserver() override { mLoop.Cancel(mTimer); }
+  HeadObserver(const HeadObserver&) = delete;
+  HeadObserver& operator=(const HeadObserver&) = delete;
+
+  void Start(const std::shared_ptr<http::ClientExchange>& aExchange)
+  {
+    mExchange = aExchange;
+    mTimer = mLoop.After(kCheckTimeout, [this] { Finish(std::nullopt); });
+  }
+
+  void OnHead(const http::ResponseHead& aHead) override { Finish(aHead); }
+  void OnBody(std::string_view /*aPart*/) override {}
+  void OnEnd() override {}
+  void OnFailure(const http::Failure& /*aFailure*/) override
+  {
+    Finish(std::nullopt);
+  }
+
+private:
+  void Finish(const std::optional<http::ResponseHead>& aHead)
+  {
+    if (const Done done = std::exchange(mDone, nullptr)) {
+      mLoop.Cancel(mTimer);
+      mLoop.Post([exchange = mExchange] { // not within its own event
+        if (const auto it = exchange.lock()) {
+          it->Cancel();
+        }
+      });
+      done(aHead);
+    }
+  }
+
+  http::Loop& mLoop;
+  Done mDone;
+  std::weak_ptr<http::ClientExchange> mExchange;
+  http::Loop::TimerId mTimer;
+};
+
 } // namespace
 
 HealthChecks::HealthChecks(Services& aServices)
@@ -35,26 +85,28 @@
   request.mTarget = mServices.mRoutes.Policy(*service).mHealthPath;
   request.mNeedsFreshConnection = true;
   request.mConnectTimeout = kCheckTimeout;
-  http::Fetch(mServices.mLoop, mServices.mClient, request, "", kCheckTimeout,
-              [this, aUpstream](const http::FetchResult& aResult) {
-                OnChecked(aUpstream, aResult);
-              });
+  const auto observer = std::make_shared<HeadObserver>(
+    mServices.mLoop,
+    [this, aUpstream](const std::optional<http::ResponseHead>& aHead) {
+      OnChecked(aUpstream, aHead);
+    });
+  observer->Start(mServices.mClient.Send(request, observer));
 }
 
 void HealthChecks::OnChecked(const base::UpstreamId& aUpstream,
-                             const http::FetchResult& aResult)
+                             const std::optional<http::ResponseHead>& aHead)
 {
+  constexpr int kHealthy = 200;
   HealthFacts facts;
-  bool isHealthy = aResult.IsOk();
+  bool isHealthy = aHead && aHead->mStatus == kHealthy;
   if (isHealthy) {
-    facts = mServices.mTranslator.ReadHealth(aResult.mHead);
+    facts = mServices.mTranslator.ReadHealth(*aHead);
     isHealthy = !facts.mUpstream || *facts.mUpstream == aUpstream;
   }
-  base::LogInfo(
-    base::LogLine("health_checked")
-      .With("upstream", aUpstream)
-      .With("healthy", isHealthy)
-      .With("status", aResult.mFailure ? 0 : aResult.mHead.mStatus));
+  base::LogInfo(base::LogLine("health_checked")
+                  .With("upstream", aUpstream)
+                  .With("healthy", isHealthy)
+                  .With("status", aHead ? aHead->mStatus : 0));
   // An upstream that was away may have started again.
   const auto service = mServices.mPlacement.ServiceOf(aUpstream);
   const base::Duration cold =
--- a/packages/entry/src/HealthChecks.h
+++ b/packages/entry/src/HealthChecks.h
@@ -2,6 +2,8 @@
 
 #include "entry/src/Services.h"
 
+#include <optional>
+
 namespace auburnmux::entry {
 
 /** Asks paused upstreams whether they may be used again. */
@@ -16,7 +18,7 @@
 private:
   void Check(const base::UpstreamId& aUpstream);
   void OnChecked(const base::UpstreamId& aUpstream,
-                 const http::FetchResult& aResult);
+                 const std::optional<http::ResponseHead>& aHead);
 
   Services& mServices;
 };
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -282,7 +282,7 @@
   if (best.mUpstream == nullptr) {
     return NoUpstream{ kDefaultRetryAfter };
   }
-  if (best.mExpected > aRequest.mTimeLeft) {
+  if (best.mIsHopeless) {
     return NoRoom{ best.mExpected - aRequest.mTimeLeft + kDefaultRetryAfter };
   }
   Upstream& upstream = *best.mUpstream;
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -155,6 +155,8 @@
     Warmth mWarmth = Warmth::None;
     base::Duration mCost = base::Duration::max();
     base::Duration mExpected{};
+    /** Whether the response would come too late. */
+    bool mIsHopeless = false;
   };
   using Service = std::vector<Upstream*>;
 
--- /dev/null
+++ b/packages/upstreams/test/UpstreamBookTest.cpp
@@ -0,0 +1,202 @@
+#include "upstreams/Upstreams.h"
+
+#include "base/test/support/Property.h"
+
+#include <set>
+
+using namespace auburnmux;
+using namespace auburnmux::upstreams;
+using std::chrono::milliseconds;
+
+namespace {
+
+base::TimePoint At(int aMilliseconds)
+{
+  return base::TimePoint(milliseconds(aMilliseconds));
+}
+
+UpstreamRecord MakeRecord(const char* aId, int aPort = 1)
+{
+  UpstreamRecord record;
+  record.mId = base::UpstreamId(aId);
+  record.mService = base::ServiceId("core");
+  record.mAddress = "10.0.0.1";
+  record.mPort = base::PortNumber(static_cast<std::uint16_t>(aPort));
+  record.mSlots = base::SlotCount(9);
+  return record;
+}
+
+/** Which upstreams a user of the events may send to. */
+struct Follower
+{
+  std::set<std::string> mUsable;
+
+  void Take(const UpstreamEvents& aEvents)
+  {
+    for (const UpstreamEvent& it : aEvents) {
+      std::visit(*this, it);
+    }
+  }
+  void operator()(const UpstreamAppeared& aEvent)
+  {
+    mUsable.insert(aEvent.mRecord.mId.Text());
+  }
+  void operator()(const UpstreamChanged& /*aEvent*/) {}
+  void operator()(const UpstreamLeaving& aEvent)
+  {
+    mUsable.erase(aEvent.mId.Text());
+  }
+  void operator()(const UpstreamGone& aEvent)
+  {
+    mUsable.erase(aEvent.mId.Text());
+  }
+};
+
+} // namespace
+
+TEST_GROUP(UpstreamBook)
+{
+  UpstreamBook mBook;
+  Follower mFollower;
+
+  void List(int aNow, const std::vector<UpstreamRecord>& aRecords)
+  {
+    mFollower.Take(mBook.OnList(At(aNow), aRecords));
+  }
+  void Tick(int aNow) { mFollower.Take(mBook.OnTick(At(aNow))); }
+  bool IsUsable(const char* aId) const
+  {
+    return mFollower.mUsable.count(aId) > 0;
+  }
+};
+
+TEST(UpstreamBook, RemovedUpstreamGetsNothingAtOnce)
+{
+  List(0, { MakeRecord("a", 1), MakeRecord("b", 2) });
+  mFollower.Take(mBook.OnRemoved(At(10), base::UpstreamId("a")));
+  CHECK_FALSE(IsUsable("a"));
+  CHECK_TRUE(IsUsable("b"));
+}
+
+// Guards against hosts that stop using upstreams whose entries lapsed only
+// because the store was away.
+TEST(UpstreamBook, EntryThatLapsedInAnOutageIsKeptUntilTheGraceEnds)
+{
+  List(0, { MakeRecord("a", 1), MakeRecord("b", 2) });
+  mBook.OnSourceLost(At(1000));
+  mBook.OnSourceBack(At(9000));
+  List(9010, {});
+  CHECK_TRUE(IsUsable("a"));
+  mFollower.Take(mBook.OnRecord(At(9500), MakeRecord("a", 1)));
+  Tick(11100);
+  CHECK_TRUE(IsUsable("b"));
+  Tick(11250);
+  CHECK_TRUE(IsUsable("a"));
+  CHECK_FALSE(IsUsable("b"));
+}
+
+// Guards against new work for an upstream that announced its end before an
+// outage hid its removal.
+TEST(UpstreamBook, LeavingUpstreamIsNotKeptByAnOutage)
+{
+  UpstreamRecord leaving = MakeRecord("a");
+  List(0, { leaving });
+  leaving.mIsLeaving = true;
+  mFollower.Take(mBook.OnRecord(At(100), leaving));
+  CHECK_FALSE(IsUsable("a"));
+  mBook.OnSourceLost(At(200));
+  mFollower.Take(mBook.OnRemoved(At(300), base::UpstreamId("a")));
+  CHECK_EQUAL(0U, mBook.Size());
+}
+
+TEST(UpstreamBook, LeavingIsNeverTakenBack)
+{
+  UpstreamRecord record = MakeRecord("a");
+  record.mIsLeaving = true;
+  List(0, { record });
+  record.mIsLeaving = false;
+  mFollower.Take(mBook.OnRecord(At(100), record));
+  CHECK_FALSE(IsUsable("a"));
+}
+
+// Guards against a process that inherits what was known of its predecessor.
+TEST(UpstreamBook, NewProcessUnderAnOldIdReplacesIt)
+{
+  UpstreamRecord record = MakeRecord("a");
+  record.mIncarnation = base::Incarnation(1);
+  record.mIsLeaving = true;
+  List(0, { record });
+  record.mIncarnation = base::Incarnation(2);
+  record.mIsLeaving = false;
+  const UpstreamEvents events = mBook.OnRecord(At(100), record);
+  CHECK_EQUAL(2U, events.size());
+  CHECK_TRUE(std::holds_alternative<UpstreamGone>(events[0]));
+  CHECK_TRUE(std::holds_alternative<UpstreamAppeared>(events[1]));
+}
+
+// Guards against two upstreams at one address, of which one is gone.
+TEST(UpstreamBook, NewOwnerOfAnAddressReplacesTheOld)
+{
+  List(0, { MakeRecord("a", 7) });
+  mFollower.Take(mBook.OnRecord(At(100), MakeRecord("b", 7)));
+  CHECK_FALSE(IsUsable("a"));
+  CHECK_TRUE(IsUsable("b"));
+}
+
+// Whatever the order of lists, changes, removals and outages: once the source
+// has been back for the grace, the usable upstreams are those that it listed
+// last and that never were leaving.
+TEST(UpstreamBook, SettlesOnWhatTheSourceSays)
+{
+  CHECK_PROPERTY("the book ends at the source's state", [] {
+    UpstreamBook book;
+    Follower follower;
+    std::map<std::string, UpstreamRecord> source;
+    int now = 0;
+    std::uint64_t born = 1;
+    const int steps = *rc::gen::inRange(1, 40);
+    for (int i = 0; i < steps; ++i) {
+      now += *rc::gen::inRange(1, 1500);
+      const std::string id(1, static_cast<char>('a' + *rc::gen::inRange(0, 4)));
+      switch (*rc::gen::inRange(0, 6)) {
+        case 0: {
+          UpstreamRecord record = MakeRecord(id.c_str(), id[0]);
+          record.mIncarnation = base::Incarnation(born++);
+          source[id] = record;
+          follower.Take(book.OnRecord(At(now), record));
+          break;
+        }
+        case 1:
+          if (source.count(id) > 0) {
+            source[id].mIsLeaving = true;
+            follower.Take(book.OnRecord(At(now), source[id]));
+          }
+          break;
+        case 2:
+          source.erase(id);
+          follower.Take(book.OnRemoved(At(now), base::UpstreamId(id)));
+          break;
+        case 3:
+          book.OnSourceLost(At(now));
+          break;
+        case 4:
+          book.OnSourceBack(At(now));
+          break;
+        default:
+          follower.Take(book.OnTick(At(now)));
+      }
+    }
+    book.OnSourceBack(At(now));
+    std::vector<UpstreamRecord> listed;
+    std::set<std::string> expected;
+    for (const auto& [id, record] : source) {
+      listed.push_back(record);
+      if (!record.mIsLeaving) {
+        expected.insert(id);
+      }
+    }
+    follower.Take(book.OnList(At(now), listed));
+    follower.Take(book.OnTick(At(now + 2300)));
+    RC_ASSERT(follower.mUsable == expected);
+  });
+}
