Hold requests back while their upstreams have no room

Ruled out: cold objects alone, since the upstreams kept theirs.

Change: an upstream takes its slots and a quarter more; further requests wait at the host, the more important first, and are refused at once when their response would come too late. Without a fresh report each host keeps to its part of the slots.

--- /dev/null
+++ b/packages/admission/Admission.h
@@ -0,0 +1,3 @@
+#pragma once
+
+#include "admission/src/WaitingRoom.h"
--- a/packages/entry/src/Carrier.cpp
+++ b/packages/entry/src/Carrier.cpp
@@ -212,7 +212,6 @@
   mPlaceRequest.mKind =
     mRoute->mId.Text() + ' ' + mPlaceRequest.mService.Text();
   mPlaceRequest.mLatencyTarget = mRoute->mLatencyTarget;
-  mPlaceRequest.mTimeLeft = TimeLeft();
   mPlaceRequest.mAllowedRegions = mRoute->mAllowedRegions;
   constexpr std::size_t kTypicalHeadAndResponse = 2000;
   mPlaceRequest.mBytes =
@@ -220,16 +219,41 @@
   if (mRoute->mHasAffinity && mFacts.mObject) {
     mPlaceRequest.mObject = placing::ObjectHash(base::Hash64(*mFacts.mObject));
   }
+  TryPlace();
+}
+
+void Carrier::TryPlace()
+{
+  const base::TimePoint now = mServices.mLoop.Now();
+  mPlaceRequest.mTimeLeft = TimeLeft();
   const placing::PlaceDecision decision =
     mServices.mPlacement.Place(now, mPlaceRequest);
+  if (std::holds_alternative<placing::Wait>(decision)) {
+    if (!mTicket) {
+      mTicket = mServices.mDispatcher.Enter(
+        mRoute->mRank.Count(), mArrived,
+        [this, self = shared_from_this()] { TryPlace(); });
+    }
+    return;
+  }
+  LeaveQueue();
   if (const auto* place = std::get_if<placing::Placed>(&decision)) {
     mLife->OnPlaced();
     Send(*place);
   } else if (const auto* full = std::get_if<placing::NoRoom>(&decision)) {
     Execute(mLife->OnNoPlace(Reason::NoRoom, full->mRetryAfter));
   } else {
-    Execute(mLife->OnNoPlace(
-      Reason::NoUpstream, std::get<placing::NoUpstream>(decision).mRetryAfter));
+    Execute(
+      mLife->OnNoPlace(Reason::NoUpstream,
+                       std::get<placing::NoUpstream>(decision).mRetryAfter));
+  }
+}
+
+void Carrier::LeaveQueue()
+{
+  if (mTicket) {
+    mWaited = mServices.mLoop.Now() - mArrived;
+    mServices.mDispatcher.Leave(*std::exchange(mTicket, std::nullopt));
   }
 }
 
@@ -283,11 +307,13 @@
   result.mUpstream = mAttempt->Place().mUpstream;
   result.mOutcome = aOutcome;
   result.mWarmth = mAttempt->Place().mWarmth;
+  result.mExpectedWork = mAttempt->Place().mExpectedWork;
   if (mAttempt->HasHead()) {
     result.mElapsed = mAttempt->Elapsed();
     result.mReport = mServices.mTranslator.ReadResponse(mAttempt->Head()).mLoad;
   }
   mServices.mPlacement.OnResult(mServices.mLoop.Now(), mPlaceRequest, result);
+  mServices.mDispatcher.OnRoom();
 }
 
 void Carrier::OnAttemptResponse()
@@ -386,6 +412,7 @@
 
 void Carrier::Refuse(Reason aReason, base::Duration aRetryAfter)
 {
+  LeaveQueue();
   StopTimer();
   LogEnd(carriage::ReasonName(aReason), 503);
   mIsAnswered = true;
@@ -405,6 +432,7 @@
 
 void Carrier::SendFailure(Reason aReason)
 {
+  LeaveQueue();
   if (mIsAnswered) { // a part of a response was delivered
     StopTimer();
     LogEnd("cut", 0);
@@ -429,6 +457,7 @@
     LogEnd("client_gone", 0);
     Execute(mLife->OnCallerGone());
   }
+  LeaveQueue();
   StopTimer();
 }
 
@@ -448,7 +477,8 @@
       .With("upstream", mAttempt->Place().mUpstream)
       .With("warmth", static_cast<int>(mAttempt->Place().mWarmth))
       .With("expected_ms", Milliseconds(mAttempt->Place().mExpected))
-      .With("attempt_ms", Milliseconds(mAttempt->Elapsed()));
+      .With("attempt_ms", Milliseconds(mAttempt->Elapsed()))
+      .With("waited_ms", Milliseconds(mWaited));
   }
   base::LogInfo(line);
   mServices.mMetrics.Count("auburnmux_requests_total",
--- a/packages/entry/src/Carrier.h
+++ b/packages/entry/src/Carrier.h
@@ -51,6 +51,9 @@
   void Refuse(carriage::Reason aReason, base::Duration aRetryAfter);
   void DenyUnknownRoute();
   void Seek(bool aIsRepeat);
+  /** Asks the placement for an upstream, and waits if none has room. */
+  void TryPlace();
+  void LeaveQueue();
   void Send(const placing::Placed& aPlace);
   http::ClientRequest MakeRequest(const base::UpstreamId& aUpstream) const;
   base::Duration TimeLeft() const;
@@ -69,6 +72,9 @@
   placing::PlaceRequest mPlaceRequest;
   std::optional<carriage::RequestLife> mLife;
   std::optional<http::Loop::TimerId> mTimer;
+  /** Set while the request waits for room. */
+  std::optional<admission::Ticket> mTicket;
+  base::Duration mWaited{};
   base::TimePoint mArrived;
   base::TimePoint mAnswerBy;
   std::string mBody;
--- /dev/null
+++ b/packages/entry/src/Dispatcher.cpp
@@ -0,0 +1,66 @@
+#include "entry/src/Dispatcher.h"
+
+#include <utility>
+
+namespace auburnmux::entry {
+
+namespace {
+
+/** Requests that are placed anew in one round. */
+constexpr std::size_t kRoundSize = 64;
+
+/** Pause before a round, in which several upstreams get room. */
+constexpr base::Duration kRoundPause = std::chrono::milliseconds(2);
+
+/** Estimates change by themselves, so that rounds go on without an event. */
+constexpr base::Duration kIdleRound = std::chrono::milliseconds(25);
+
+} // namespace
+
+Dispatcher::Dispatcher(http::Loop& aLoop, placing::Placement& aPlacement)
+  : mLoop(aLoop)
+  , mPlacement(aPlacement)
+{
+  mLoop.Every(kIdleRound, [this] { RunRound(); });
+}
+
+admission::Ticket Dispatcher::Enter(std::uint32_t aRank,
+                                    base::TimePoint aArrived, Turn aTurn)
+{
+  const admission::Ticket ticket(++mLastTicket);
+  mRoom.Add({ ticket, aRank, aArrived });
+  mTurns[ticket] = std::move(aTurn);
+  return ticket;
+}
+
+void Dispatcher::Leave(admission::Ticket aTicket)
+{
+  mRoom.Remove(aTicket);
+  mTurns.erase(aTicket);
+}
+
+void Dispatcher::OnRoom()
+{
+  if (!mIsRoundDue && !mRoom.IsEmpty()) {
+    mIsRoundDue = true;
+    mLoop.After(kRoundPause, [this] { RunRound(); });
+  }
+}
+
+void Dispatcher::RunRound()
+{
+  mIsRoundDue = false;
+  if (mRoom.IsEmpty()) {
+    return;
+  }
+  mPlacement.BeginRound();
+  for (const admission::Ticket it : mRoom.First(kRoundSize)) {
+    const auto turn = mTurns.find(it);
+    if (turn != mTurns.end()) {
+      const Turn run = turn->second; // it may leave
+      run();
+    }
+  }
+}
+
+} // namespace auburnmux::entry
--- a/packages/entry/src/Services.h
+++ b/packages/entry/src/Services.h
@@ -2,6 +2,7 @@
 
 #include "base/Base.h"
 #include "carriage/Carriage.h"
+#include "entry/src/Dispatcher.h"
 #include "entry/src/EntrySettings.h"
 #include "entry/src/Translator.h"
 #include "http/Http.h"
@@ -26,6 +27,7 @@
   routing::RouteTable mRoutes{};
   routing::SplitSelector mSplits{};
   placing::Placement mPlacement;
+  Dispatcher mDispatcher{ mLoop, mPlacement };
   std::unordered_map<base::UpstreamId, http::Endpoint> mEndpoints{};
   std::map<base::ServiceId, carriage::WindowBudget> mBudgets{};
   /** Hosts that share bounds, this one included. */
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -249,8 +249,14 @@
   Candidate candidate;
   candidate.mUpstream = &aUpstream;
   candidate.mWarmth = aWarmth;
-  candidate.mExpected =
-    Trip(aUpstream) + gauge.Wait(aNow) + Scale(work, gauge.Slowness(aNow));
+  const base::Duration wait = gauge.Wait(aNow, aUpstream.mQueued);
+  candidate.mHasRoom = gauge.HasRoom(aNow, mHosts);
+  candidate.mWork = Scale(work, gauge.Slowness(aNow));
+  candidate.mExpected = Trip(aUpstream) + wait +
+                        Scale(candidate.mWork, std::max(1.0, gauge.Pace()));
+  // With a slot free, the estimate may be wrong in the request's favour.
+  candidate.mIsHopeless = wait > base::Duration::zero() &&
+                          candidate.mExpected > aRequest.mTimeLeft;
   candidate.mCost = candidate.mExpected + gauge.Silence(aNow) +
                     TransferCost(aUpstream, aRequest.mBytes) +
                     Scale(aRequest.mLatencyTarget,
@@ -286,6 +292,10 @@
     return NoRoom{ best.mExpected - aRequest.mTimeLeft + kDefaultRetryAfter };
   }
   Upstream& upstream = *best.mUpstream;
+  if (!best.mHasRoom) {
+    ++upstream.mQueued;
+    return Wait{ upstream.mSpec.mId, best.mExpected };
+  }
   upstream.mGauge.OnSent(aNow);
   if (upstream.mColdUntil > aNow && upstream.mSpec.mColdRate > 0) {
     upstream.mColdTokens.Take(aNow);
@@ -293,7 +303,15 @@
   if (aRequest.mObject) {
     upstream.mWarm.Touch(*aRequest.mObject);
   }
-  return Placed{ upstream.mSpec.mId, best.mWarmth, best.mExpected };
+  return Placed{ upstream.mSpec.mId, best.mWarmth, best.mExpected,
+                 best.mWork };
+}
+
+void Placement::BeginRound()
+{
+  for (const auto& [id, upstream] : mUpstreams) {
+    upstream->mQueued = 0;
+  }
 }
 
 void Placement::OnResult(base::TimePoint aNow, const PlaceRequest& aRequest,
@@ -310,7 +328,8 @@
     mWork.Learn(aRequest.mKind, aResult.mWarmth, *work,
                 aRequest.mLatencyTarget);
   }
-  upstream->mGauge.OnEnded(aNow, aResult.mOutcome, work);
+  upstream->mGauge.OnEnded(aNow, aResult.mOutcome, work,
+                           aResult.mExpectedWork);
   if (aResult.mReport) {
     upstream->mGauge.OnReport(aNow, *aResult.mReport);
   }
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -57,6 +57,16 @@
   Warmth mWarmth = Warmth::None;
   /** Time until the response, as estimated. */
   base::Duration mExpected{};
+  /** The part of it that is work. */
+  base::Duration mExpectedWork{};
+};
+
+/** The upstream that would serve it best has no room for now. */
+struct Wait
+{
+  base::UpstreamId mUpstream;
+  /** Time until the response, as estimated. */
+  base::Duration mExpected{};
 };
 
 /** No upstream could answer in time. */
@@ -72,7 +82,7 @@
   base::Duration mRetryAfter{};
 };
 
-using PlaceDecision = std::variant<Placed, NoRoom, NoUpstream>;
+using PlaceDecision = std::variant<Placed, Wait, NoRoom, NoUpstream>;
 
 /** How a request ended at its upstream. */
 struct PlacedResult
@@ -82,6 +92,8 @@
   Warmth mWarmth = Warmth::None;
   /** From sending to the response; unset without a response. */
   std::optional<base::Duration> mElapsed;
+  /** Work that was expected, see Placed. */
+  base::Duration mExpectedWork{};
   std::optional<LoadReport> mReport;
 };
 
@@ -120,7 +132,13 @@
   /** Takes a measured round trip to a data centre. */
   void OnTrip(const base::DataCentreId& aCentre, base::Duration aTrip);
 
-  /** Chooses an upstream and counts the request there. */
+  /**
+   * Forgets which requests wait. To be called before all waiting requests are
+   * placed anew, in the order in which they are to be served.
+   */
+  void BeginRound();
+  /** Chooses an upstream and counts the request there, as sent or as waiting
+   * until the next round. */
   PlaceDecision Place(base::TimePoint aNow, const PlaceRequest& aRequest);
   /** Ends a placed request. */
   void OnResult(base::TimePoint aNow, const PlaceRequest& aRequest,
@@ -148,6 +166,8 @@
     base::TimePoint mColdUntil;
     TokenBucket mColdTokens;
     WarmObjects mWarm;
+    /** Requests that this host holds back for it. */
+    std::uint32_t mQueued = 0;
   };
   struct Candidate
   {
@@ -155,6 +175,8 @@
     Warmth mWarmth = Warmth::None;
     base::Duration mCost = base::Duration::max();
     base::Duration mExpected{};
+    base::Duration mWork{};
+    bool mHasRoom = false;
     /** Whether the response would come too late. */
     bool mIsHopeless = false;
   };
--- a/packages/placing/src/PlacingSettings.h
+++ b/packages/placing/src/PlacingSettings.h
@@ -25,6 +25,11 @@
   /** How fast a report of other hosts' requests goes stale. */
   base::Duration mReportLife = std::chrono::seconds(2);
 
+  /** Age up to which a report tells whether there is room. */
+  base::Duration mFreshReport = std::chrono::milliseconds(700);
+  /** Requests that may queue at an upstream, as a share of its slots. */
+  double mQueueShare = 0.25;
+
   /** Delay that a certain failure counts for, as a multiple of the latency
    * target: a failed request is repeated or lost. */
   double mFailureTargets = 4;
--- a/packages/placing/src/UpstreamGauge.cpp
+++ b/packages/placing/src/UpstreamGauge.cpp
@@ -13,6 +13,10 @@
 /** Weight of one sample in the running means. */
 constexpr double kSampleWeight = 0.1;
 
+/** A sample above this multiple counts as this; a few requests run many times
+ * longer than the rest. */
+constexpr double kSampleLimit = 4;
+
 /** Weight of one outcome in the share of failures. */
 constexpr double kFailureWeight = 0.2;
 
@@ -57,7 +61,8 @@
 }
 
 void UpstreamGauge::OnEnded(base::TimePoint aNow, Outcome aOutcome,
-                            std::optional<base::Duration> aWork)
+                            std::optional<base::Duration> aWork,
+                            base::Duration aExpected)
 {
   assert(mOwn > 0);
   --mOwn;
@@ -81,10 +86,21 @@
     mSilentSince = aNow;
   }
   if (aWork) {
-    const double mean = static_cast<double>(mMeanWork.count());
-    const double sample = static_cast<double>(aWork->count());
-    mMeanWork = base::Duration(static_cast<base::Duration::rep>(
-      mean + kSampleWeight * (std::min(sample, 4 * mean) - mean)));
+    LearnWork(*aWork, aExpected);
+  }
+}
+
+void UpstreamGauge::LearnWork(base::Duration aWork, base::Duration aExpected)
+{
+  const double mean = static_cast<double>(mMeanWork.count());
+  const double sample =
+    std::min(static_cast<double>(aWork.count()), kSampleLimit * mean);
+  mMeanWork = base::Duration(static_cast<base::Duration::rep>(
+    mean + kSampleWeight * (sample - mean)));
+  if (aExpected > base::Duration::zero()) {
+    const double ratio = static_cast<double>(aWork.count()) /
+                         static_cast<double>(aExpected.count());
+    mPace += kSampleWeight * (std::clamp(ratio, 0.5, kSampleLimit) - mPace);
   }
 }
 
@@ -122,10 +138,21 @@
   return mOwn + mOthers * Decay(aNow - mReportedAt, mSettings->mReportLife);
 }
 
-base::Duration UpstreamGauge::Wait(base::TimePoint aNow) const
+bool UpstreamGauge::HasRoom(base::TimePoint aNow, std::size_t aHosts) const
+{
+  const double slots = std::max(1.0, static_cast<double>(mSlots.Count()));
+  if (aNow - mReportedAt > mSettings->mFreshReport) {
+    const double part =
+      std::ceil(slots / static_cast<double>(std::max<std::size_t>(aHosts, 1)));
+    return mOwn < std::max(part, 2.0);
+  }
+  return Load(aNow) + 1 <= slots * (1 + mSettings->mQueueShare);
+}
+
+base::Duration UpstreamGauge::Wait(base::TimePoint aNow, double aQueued) const
 {
   const double slots = std::max(1.0, static_cast<double>(mSlots.Count()));
-  const double excess = Load(aNow) + 1 - slots;
+  const double excess = Load(aNow) + aQueued + 1 - slots;
   if (excess <= 0) {
     return {};
   }
--- a/packages/placing/src/UpstreamGauge.h
+++ b/packages/placing/src/UpstreamGauge.h
@@ -36,9 +36,13 @@
 
   void OnSent(base::TimePoint aNow);
   void OnReport(base::TimePoint aNow, const LoadReport& aReport);
-  /** Ends one request. \param aWork time that the upstream spent on it */
+  /**
+   * Ends one request.
+   * \param aWork time that the upstream spent on it, if it was answered
+   * \param aExpected time that it was expected to spend
+   */
   void OnEnded(base::TimePoint aNow, Outcome aOutcome,
-               std::optional<base::Duration> aWork);
+               std::optional<base::Duration> aWork, base::Duration aExpected);
   /** A health check passed after a pause. */
   void OnHealthy(base::TimePoint aNow);
 
@@ -48,8 +52,19 @@
 
   /** \returns requests of all hosts that it runs or queues. */
   double Load(base::TimePoint aNow) const;
-  /** \returns how long a new request waits for a slot. */
-  base::Duration Wait(base::TimePoint aNow) const;
+  /** \returns how long a new request waits for a slot, behind \a aQueued
+   * others that this host holds back. */
+  base::Duration Wait(base::TimePoint aNow, double aQueued) const;
+  /**
+   * \returns whether a request may be sent: the upstream has a slot for it, or
+   * a short queue, so that no slot idles while the next request is on its way.
+   * \param aHosts hosts that may send to it; without a fresh report each keeps
+   * to its part of the slots
+   */
+  bool HasRoom(base::TimePoint aNow, std::size_t aHosts) const;
+  /** \returns how much longer than expected work takes there, other than by
+   * what its reports say. */
+  double Pace() const { return mPace; }
   /** \returns how much longer than usual work takes; at least 1. */
   double Slowness(base::TimePoint aNow) const;
   /** \returns the share of requests that fail there, 0 to 1. */
@@ -66,6 +81,7 @@
 
 private:
   void CountOutcome(base::TimePoint aNow, bool aIsFailure);
+  void LearnWork(base::Duration aWork, base::Duration aExpected);
   void Pause(base::TimePoint aNow);
 
   const PlacingSettings* mSettings;
@@ -74,6 +90,7 @@
   double mOthers = 0;
   base::TimePoint mReportedAt;
   double mSlowness = 1;
+  double mPace = 1;
   /** Mean time that a request occupies a slot. */
   base::Duration mMeanWork = std::chrono::milliseconds(200);
   double mFailures = 0;
