Keep each object at few upstreams

Change: hosts agree on the homes of each object by rendezvous hashing, two in their region and one in two others; leaving them counts as a latency target's delay, for the object that is driven out.

--- a/packages/entry/src/Carrier.cpp
+++ b/packages/entry/src/Carrier.cpp
@@ -217,7 +217,7 @@
   mPlaceRequest.mBytes =
     base::ByteCount(mBody.size() + kTypicalHeadAndResponse);
   if (mRoute->mHasAffinity && mFacts.mObject) {
-    mPlaceRequest.mObject = placing::ObjectHash(base::Hash64(*mFacts.mObject));
+    mPlaceRequest.mObject = placing::ObjectHash(base::Hash64(*mFacts.mObject + ' ' + mPlaceRequest.mKind));
   }
   TryPlace();
 }
@@ -470,7 +470,9 @@
     .With("ms", Milliseconds(mServices.mLoop.Now() - mArrived))
     .With("config", mServices.mRoutes.Version());
   if (mRoute) {
-    line.With("route", mRoute->mId).With("service", mPlaceRequest.mService);
+    line.With("route", mRoute->mId)
+      .With("service", mPlaceRequest.mService)
+      .With("object", mFacts.mObject.value_or(""));
   }
   if (mLife && mLife->Attempts() > 0) {
     line.With("attempts", mLife->Attempts())
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -176,15 +176,21 @@
                kilobytes);
 }
 
-bool Placement::IsUsable(base::TimePoint aNow, const Upstream& aUpstream,
-                         const PlaceRequest& aRequest) const
+bool Placement::IsAllowed(const Upstream& aUpstream,
+                          const PlaceRequest& aRequest) const
 {
   if (aUpstream.mIsLeaving || aUpstream.mIsEvacuated ||
       aUpstream.mGauge.IsPaused()) {
     return false;
   }
-  if (!aRequest.mAllowedRegions.empty() &&
-      !Contains(aRequest.mAllowedRegions, aUpstream.mSpec.mRegion)) {
+  return aRequest.mAllowedRegions.empty() ||
+         Contains(aRequest.mAllowedRegions, aUpstream.mSpec.mRegion);
+}
+
+bool Placement::IsUsable(base::TimePoint aNow, const Upstream& aUpstream,
+                         const PlaceRequest& aRequest) const
+{
+  if (!IsAllowed(aUpstream, aRequest)) {
     return false;
   }
   if (Contains(aRequest.mTried, aUpstream.mSpec.mId)) {
@@ -195,35 +201,47 @@
   return !isLimited || aUpstream.mColdTokens.CanTake(aNow);
 }
 
-std::map<base::RegionId, const Placement::Upstream*> Placement::Primaries(
-  const std::vector<Upstream*>& aUpstreams, ObjectHash aObject) const
+Placement::Service Placement::Homes(const Service& aUpstreams,
+                                    const PlaceRequest& aRequest) const
 {
-  struct Best
-  {
-    const Upstream* mUpstream = nullptr;
-    std::uint64_t mScore = 0;
-  };
-  std::map<base::RegionId, Best> best;
-  for (const Upstream* it : aUpstreams) {
-    if (it->mIsLeaving || it->mIsEvacuated) {
+  constexpr std::size_t kLocalHomes = 2;
+  constexpr std::size_t kRemoteHomes = 2;
+  using Scored = std::pair<std::uint64_t, Upstream*>;
+  std::vector<Scored> local;
+  std::map<base::RegionId, Scored> remote;
+  for (Upstream* it : aUpstreams) {
+    if (!IsAllowed(*it, aRequest)) {
       continue;
     }
-    const std::uint64_t score = base::CombineHash(it->mHash, aObject.Count());
-    Best& region = best[it->mSpec.mRegion];
-    if (region.mUpstream == nullptr || score > region.mScore) {
-      region = { it, score };
+    const Scored scored(
+      base::CombineHash(it->mHash, aRequest.mObject->Count()), it);
+    if (it->mSpec.mRegion == mRegion) {
+      local.push_back(scored);
+    } else {
+      Scored& best = remote[it->mSpec.mRegion];
+      best = std::max(best, scored);
     }
   }
-  std::map<base::RegionId, const Upstream*> primaries;
-  for (const auto& [region, it] : best) {
-    primaries[region] = it.mUpstream;
+  std::vector<Scored> others;
+  others.reserve(remote.size());
+  for (const auto& [region, scored] : remote) {
+    others.push_back(scored);
   }
-  return primaries;
+  Service homes;
+  const auto take = [&homes](std::vector<Scored>& aFrom, std::size_t aCount) {
+    std::sort(aFrom.rbegin(), aFrom.rend());
+    for (std::size_t i = 0; i < std::min(aFrom.size(), aCount); ++i) {
+      homes.push_back(aFrom[i].second);
+    }
+  };
+  take(local, kLocalHomes);
+  take(others, kRemoteHomes);
+  return homes;
 }
 
-Warmth Placement::WarmthOf(
-  const Upstream& aUpstream, const PlaceRequest& aRequest,
-  const std::map<base::RegionId, const Upstream*>& aPrimaries) const
+Warmth Placement::WarmthOf(const Upstream& aUpstream,
+                           const PlaceRequest& aRequest,
+                           const Service& aHomes) const
 {
   if (!aRequest.mObject) {
     return Warmth::None;
@@ -231,12 +249,11 @@
   if (aUpstream.mWarm.Contains(*aRequest.mObject)) {
     return Warmth::Recent;
   }
-  const auto it = aPrimaries.find(aUpstream.mSpec.mRegion);
-  if (it == aPrimaries.end() || it->second != &aUpstream) {
+  if (std::find(aHomes.begin(), aHomes.end(), &aUpstream) == aHomes.end()) {
     return Warmth::None;
   }
-  return aUpstream.mSpec.mRegion == mRegion ? Warmth::Primary
-                                            : Warmth::RemotePrimary;
+  return aUpstream.mSpec.mRegion == mRegion ? Warmth::Home
+                                            : Warmth::RemoteHome;
 }
 
 Placement::Candidate Placement::Rate(base::TimePoint aNow, Upstream& aUpstream,
@@ -264,6 +281,30 @@
   return candidate;
 }
 
+Placement::Candidate Placement::BestOf(base::TimePoint aNow,
+                                       const Service& aUpstreams,
+                                       const PlaceRequest& aRequest) const
+{
+  const Service homes =
+    aRequest.mObject ? Homes(aUpstreams, aRequest) : Service();
+  Candidate best;
+  for (Upstream* it : aUpstreams) {
+    if (!IsUsable(aNow, *it, aRequest)) {
+      continue;
+    }
+    const Warmth warmth = WarmthOf(*it, aRequest, homes);
+    Candidate candidate = Rate(aNow, *it, warmth, aRequest);
+    if (aRequest.mObject && warmth == Warmth::None) {
+      candidate.mCost +=
+        Scale(aRequest.mLatencyTarget, mSettings.mStrayTargets);
+    }
+    if (candidate.mCost < best.mCost) {
+      best = candidate;
+    }
+  }
+  return best;
+}
+
 PlaceDecision Placement::Place(base::TimePoint aNow,
                                const PlaceRequest& aRequest)
 {
@@ -271,20 +312,7 @@
   if (service == mServices.end()) {
     return NoUpstream{ kDefaultRetryAfter };
   }
-  std::map<base::RegionId, const Upstream*> primaries;
-  if (aRequest.mObject) {
-    primaries = Primaries(service->second, *aRequest.mObject);
-  }
-  Candidate best;
-  for (Upstream* it : service->second) {
-    if (IsUsable(aNow, *it, aRequest)) {
-      const Candidate candidate =
-        Rate(aNow, *it, WarmthOf(*it, aRequest, primaries), aRequest);
-      if (candidate.mCost < best.mCost) {
-        best = candidate;
-      }
-    }
-  }
+  const Candidate best = BestOf(aNow, service->second, aRequest);
   if (best.mUpstream == nullptr) {
     return NoUpstream{ kDefaultRetryAfter };
   }
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -183,13 +183,19 @@
   using Service = std::vector<Upstream*>;
 
   Upstream* Find(const base::UpstreamId& aId);
+  /** \returns whether it takes requests of the kind at all. */
+  bool IsAllowed(const Upstream& aUpstream,
+                 const PlaceRequest& aRequest) const;
   bool IsUsable(base::TimePoint aNow, const Upstream& aUpstream,
                 const PlaceRequest& aRequest) const;
-  std::map<base::RegionId, const Upstream*> Primaries(
-    const std::vector<Upstream*>& aUpstreams, ObjectHash aObject) const;
-  Warmth WarmthOf(
-    const Upstream& aUpstream, const PlaceRequest& aRequest,
-    const std::map<base::RegionId, const Upstream*>& aPrimaries) const;
+  /** \returns the upstreams at which all hosts of this region expect the
+   * object: two of this region and the first of up to two others. */
+  Service Homes(const Service& aUpstreams,
+                const PlaceRequest& aRequest) const;
+  Warmth WarmthOf(const Upstream& aUpstream, const PlaceRequest& aRequest,
+                  const Service& aHomes) const;
+  Candidate BestOf(base::TimePoint aNow, const Service& aUpstreams,
+                   const PlaceRequest& aRequest) const;
   Candidate Rate(base::TimePoint aNow, Upstream& aUpstream, Warmth aWarmth,
                  const PlaceRequest& aRequest) const;
   base::Duration Trip(const Upstream& aUpstream) const;
--- a/packages/placing/src/PlacingSettings.h
+++ b/packages/placing/src/PlacingSettings.h
@@ -30,6 +30,13 @@
   /** Requests that may queue at an upstream, as a share of its slots. */
   double mQueueShare = 0.25;
 
+  /**
+   * Delay that sending an object away from its homes counts for, as a multiple
+   * of the latency target: it drives another object out of that upstream's
+   * memory.
+   */
+  double mStrayTargets = 1;
+
   /** Delay that a certain failure counts for, as a multiple of the latency
    * target: a failed request is repeated or lost. */
   double mFailureTargets = 4;
--- a/packages/placing/src/WorkEstimates.h
+++ b/packages/placing/src/WorkEstimates.h
@@ -13,10 +13,10 @@
 {
   /** This host sent it a request for the object lately. */
   Recent,
-  /** It is the object's first choice in this host's region. */
-  Primary,
-  /** It is the object's first choice in its own, other region. */
-  RemotePrimary,
+  /** It is a home of the object in this host's region. */
+  Home,
+  /** It is a home of the object in another region. */
+  RemoteHome,
   /** No reason is known. */
   None
 };
