Warm an object's other homes only when its first one is full

Change: homes other than the first count as 0.3 latency targets further away. A kind of work that was never measured is not refused as hopeless.

--- a/packages/entry/src/Carrier.cpp
+++ b/packages/entry/src/Carrier.cpp
@@ -120,6 +120,7 @@
   mLife.emplace(terms);
   mPlaceRequest.mService = mServices.mSplits.Next(*mRoute);
   mServices.Budget(mPlaceRequest.mService).OnRequest(mArrived);
+  mOnTimeUntil = mArrived + mRoute->mLatencyTarget - TimeSpentBefore();
   StartTimer();
   if (mIsBodyComplete) {
     Execute(mLife->OnReadable());
@@ -141,6 +142,16 @@
   });
 }
 
+base::Duration Carrier::TimeSpentBefore()
+{
+  if (!mFacts.mTimeLeft) {
+    return {};
+  }
+  base::Duration& longest = mServices.mLongestTime[mRoute->mId];
+  longest = std::max(longest, *mFacts.mTimeLeft);
+  return longest - *mFacts.mTimeLeft;
+}
+
 void Carrier::StopTimer()
 {
   if (mTimer) {
@@ -228,10 +239,10 @@
   mPlaceRequest.mTimeLeft = TimeLeft();
   const placing::PlaceDecision decision =
     mServices.mPlacement.Place(now, mPlaceRequest);
-  if (std::holds_alternative<placing::Wait>(decision)) {
+  if (const auto* wait = std::get_if<placing::Wait>(&decision)) {
     if (!mTicket) {
       mTicket = mServices.mDispatcher.Enter(
-        mRoute->mRank.Count(), mArrived,
+        mRoute->mRank.Count(), mArrived, mOnTimeUntil - wait->mService,
         [this, self = shared_from_this()] { TryPlace(); });
     }
     return;
--- a/packages/entry/src/Carrier.h
+++ b/packages/entry/src/Carrier.h
@@ -47,6 +47,9 @@
   struct ActionVisitor;
 
   void StartTimer();
+  /** \returns the time that the client spent on earlier attempts: its time
+   * left is shorter than that of first attempts on the route. */
+  base::Duration TimeSpentBefore();
   void Execute(const carriage::LifeActions& aActions);
   void Refuse(carriage::Reason aReason, base::Duration aRetryAfter);
   void DenyUnknownRoute();
@@ -77,6 +80,8 @@
   base::Duration mWaited{};
   base::TimePoint mArrived;
   base::TimePoint mAnswerBy;
+  /** Until when a response is of full use to the client. */
+  base::TimePoint mOnTimeUntil;
   std::string mBody;
   bool mIsBodyComplete = false;
   /** Whether parts of the body were passed on that aren't kept. */
--- a/packages/entry/src/Dispatcher.cpp
+++ b/packages/entry/src/Dispatcher.cpp
@@ -25,10 +25,11 @@
 }
 
 admission::Ticket Dispatcher::Enter(std::uint32_t aRank,
-                                    base::TimePoint aArrived, Turn aTurn)
+                                    base::TimePoint aArrived,
+                                    base::TimePoint aSendBy, Turn aTurn)
 {
   const admission::Ticket ticket(++mLastTicket);
-  mRoom.Add({ ticket, aRank, aArrived });
+  mRoom.Add({ ticket, aRank, aArrived, aSendBy });
   mTurns[ticket] = std::move(aTurn);
   return ticket;
 }
@@ -54,7 +55,7 @@
     return;
   }
   mPlacement.BeginRound();
-  for (const admission::Ticket it : mRoom.First(kRoundSize)) {
+  for (const admission::Ticket it : mRoom.First(mLoop.Now(), kRoundSize)) {
     const auto turn = mTurns.find(it);
     if (turn != mTurns.end()) {
       const Turn run = turn->second; // it may leave
--- a/packages/entry/src/Dispatcher.h
+++ b/packages/entry/src/Dispatcher.h
@@ -18,9 +18,10 @@
 
   Dispatcher(http::Loop& aLoop, placing::Placement& aPlacement);
 
-  /** \returns a ticket with which the request leaves. */
+  /** \returns a ticket with which the request leaves.
+   * \param aSendBy when it has to be sent to meet its latency target */
   admission::Ticket Enter(std::uint32_t aRank, base::TimePoint aArrived,
-                          Turn aTurn);
+                          base::TimePoint aSendBy, Turn aTurn);
   void Leave(admission::Ticket aTicket);
   /** An upstream may have room: a round follows soon. */
   void OnRoom();
--- a/packages/entry/src/Services.h
+++ b/packages/entry/src/Services.h
@@ -30,6 +30,8 @@
   Dispatcher mDispatcher{ mLoop, mPlacement };
   std::unordered_map<base::UpstreamId, http::Endpoint> mEndpoints{};
   std::map<base::ServiceId, carriage::WindowBudget> mBudgets{};
+  /** Longest time that a client's request came with, by route. */
+  std::unordered_map<routing::RouteId, base::Duration> mLongestTime{};
   /** Hosts that share bounds, this one included. */
   std::size_t mHosts = 1;
   /** Whether this host was told to stop. */
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -249,11 +249,14 @@
   if (aUpstream.mWarm.Contains(*aRequest.mObject)) {
     return Warmth::Recent;
   }
-  if (std::find(aHomes.begin(), aHomes.end(), &aUpstream) == aHomes.end()) {
+  const auto home = std::find(aHomes.begin(), aHomes.end(), &aUpstream);
+  if (home == aHomes.end()) {
     return Warmth::None;
   }
-  return aUpstream.mSpec.mRegion == mRegion ? Warmth::Home
-                                            : Warmth::RemoteHome;
+  if (aUpstream.mSpec.mRegion != mRegion) {
+    return Warmth::RemoteHome;
+  }
+  return home == aHomes.begin() ? Warmth::Home : Warmth::SpareHome;
 }
 
 Placement::Candidate Placement::Rate(base::TimePoint aNow, Upstream& aUpstream,
@@ -271,8 +274,10 @@
   candidate.mWork = Scale(work, gauge.Slowness(aNow));
   candidate.mExpected = Trip(aUpstream) + wait +
                         Scale(candidate.mWork, std::max(1.0, gauge.Pace()));
-  // With a slot free, the estimate may be wrong in the request's favour.
+  // With a slot free, or for a kind of work that was never seen, the estimate
+  // may be wrong in the request's favour.
   candidate.mIsHopeless = wait > base::Duration::zero() &&
+                          mWork.IsKnown(aRequest.mKind) &&
                           candidate.mExpected > aRequest.mTimeLeft;
   candidate.mCost = candidate.mExpected + gauge.Silence(aNow) +
                     TransferCost(aUpstream, aRequest.mBytes) +
@@ -281,6 +286,21 @@
   return candidate;
 }
 
+double Placement::StrayTargets(Warmth aWarmth) const
+{
+  switch (aWarmth) {
+    case Warmth::Recent:
+    case Warmth::Home:
+      return 0;
+    case Warmth::SpareHome:
+    case Warmth::RemoteHome:
+      return mSettings.mSpareTargets;
+    case Warmth::None:
+      return mSettings.mStrayTargets;
+  }
+  return 0;
+}
+
 Placement::Candidate Placement::BestOf(base::TimePoint aNow,
                                        const Service& aUpstreams,
                                        const PlaceRequest& aRequest) const
@@ -294,9 +314,9 @@
     }
     const Warmth warmth = WarmthOf(*it, aRequest, homes);
     Candidate candidate = Rate(aNow, *it, warmth, aRequest);
-    if (aRequest.mObject && warmth == Warmth::None) {
+    if (aRequest.mObject) {
       candidate.mCost +=
-        Scale(aRequest.mLatencyTarget, mSettings.mStrayTargets);
+        Scale(aRequest.mLatencyTarget, StrayTargets(warmth));
     }
     if (candidate.mCost < best.mCost) {
       best = candidate;
@@ -322,7 +342,7 @@
   Upstream& upstream = *best.mUpstream;
   if (!best.mHasRoom) {
     ++upstream.mQueued;
-    return Wait{ upstream.mSpec.mId, best.mExpected };
+    return Wait{ upstream.mSpec.mId, best.mWork + Trip(upstream) };
   }
   upstream.mGauge.OnSent(aNow);
   if (upstream.mColdUntil > aNow && upstream.mSpec.mColdRate > 0) {
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -65,8 +65,8 @@
 struct Wait
 {
   base::UpstreamId mUpstream;
-  /** Time until the response, as estimated. */
-  base::Duration mExpected{};
+  /** Time from sending to the response, as estimated. */
+  base::Duration mService{};
 };
 
 /** No upstream could answer in time. */
@@ -194,6 +194,7 @@
                 const PlaceRequest& aRequest) const;
   Warmth WarmthOf(const Upstream& aUpstream, const PlaceRequest& aRequest,
                   const Service& aHomes) const;
+  double StrayTargets(Warmth aWarmth) const;
   Candidate BestOf(base::TimePoint aNow, const Service& aUpstreams,
                    const PlaceRequest& aRequest) const;
   Candidate Rate(base::TimePoint aNow, Upstream& aUpstream, Warmth aWarmth,
--- a/packages/placing/src/PlacingSettings.h
+++ b/packages/placing/src/PlacingSettings.h
@@ -36,6 +36,9 @@
    * memory.
    */
   double mStrayTargets = 1;
+  /** The same for an object's other homes, which are warmed only when the
+   * first one is full. */
+  double mSpareTargets = 0.3;
 
   /** Delay that a certain failure counts for, as a multiple of the latency
    * target: a failed request is repeated or lost. */
--- a/packages/placing/src/WorkEstimates.cpp
+++ b/packages/placing/src/WorkEstimates.cpp
@@ -14,8 +14,8 @@
 constexpr double kSampleLimit = 3;
 
 /** Work expected before the first sample, in latency targets. */
-constexpr std::array<double, kWarmthCount> kInitialTargets = { 0.4, 0.6, 0.9,
-                                                               1.1 };
+constexpr std::array<double, kWarmthCount> kInitialTargets = { 0.4, 0.5, 0.9,
+                                                               0.9, 1.1 };
 
 base::Duration Scale(base::Duration aTime, double aFactor)
 {
--- a/packages/placing/src/WorkEstimates.h
+++ b/packages/placing/src/WorkEstimates.h
@@ -13,15 +13,17 @@
 {
   /** This host sent it a request for the object lately. */
   Recent,
-  /** It is a home of the object in this host's region. */
+  /** It is the object's home in this host's region. */
   Home,
+  /** It takes the home's place in this region while that is full. */
+  SpareHome,
   /** It is a home of the object in another region. */
   RemoteHome,
   /** No reason is known. */
   None
 };
 
-constexpr std::size_t kWarmthCount = 4;
+constexpr std::size_t kWarmthCount = 5;
 
 /**
  * Expected work time of a kind of request, learned for each reason that an
@@ -36,6 +38,11 @@
              base::Duration aLatencyTarget);
   base::Duration Expect(const std::string& aKind, Warmth aWarmth,
                         base::Duration aLatencyTarget) const;
+  /** \returns whether any work of the kind was measured. */
+  bool IsKnown(const std::string& aKind) const
+  {
+    return mMeans.count(aKind) > 0;
+  }
 
 private:
   using Means = std::array<base::Duration, kWarmthCount>;
