Judge upstreams' failures against their service's usual share

Ruled out: the upstreams' slots, which were not full.

Change: only failures beyond the service's usual share count, and a rejection, which did not run, for a quarter of one.

--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -101,6 +101,8 @@
   base::ByteCount mMaxResponseHead{ 65536 };
   /** Idle connections are closed after this time at the latest. */
   base::Duration mMaxIdle = std::chrono::seconds(4);
+  /** The same for connections on which no Keep-Alive field came. */
+  base::Duration mUnstatedIdle = std::chrono::seconds(4);
   /** Time before the end that a Keep-Alive field states at which an idle
    * connection is closed. */
   base::Duration mKeepAliveMargin = std::chrono::seconds(1);
--- a/packages/http/src/ClientLink.cpp
+++ b/packages/http/src/ClientLink.cpp
@@ -58,7 +58,7 @@
   , mEndpoint(std::move(aEndpoint))
   , mOptions(aOptions)
   , mStream(aLoop, *this)
-  , mIdleLimit(aOptions.mMaxIdle)
+  , mIdleLimit(std::min(aOptions.mMaxIdle, aOptions.mUnstatedIdle))
 {
 }
 
--- a/packages/placing/Placing.h
+++ b/packages/placing/Placing.h
@@ -6,6 +6,8 @@
 
 #include "placing/src/TokenBucket.h"
 
+#include "placing/src/FailureMeter.h"
+
 #include "placing/src/UpstreamGauge.h"
 
 #include "placing/src/WorkEstimates.h"
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -51,7 +51,7 @@
               base::Hash64(aSpec.mId.Text()), false,
               mEvacuated.count(aSpec.mDataCentre) > 0, aNow + aColdFor,
               TokenBucket(ColdRate(aSpec), 1), WarmObjects() });
-  mServices[aSpec.mService].push_back(upstream.get());
+  mServices[aSpec.mService].mUpstreams.push_back(upstream.get());
   mUpstreams[aSpec.mId] = std::move(upstream);
 }
 
@@ -61,7 +61,7 @@
   if (it == mUpstreams.end()) {
     return;
   }
-  Service& service = mServices[it->second->mSpec.mService];
+  Group& service = mServices[it->second->mSpec.mService].mUpstreams;
   service.erase(std::remove(service.begin(), service.end(), it->second.get()),
                 service.end());
   if (service.empty()) {
@@ -201,8 +201,8 @@
   return !isLimited || aUpstream.mColdTokens.CanTake(aNow);
 }
 
-Placement::Service Placement::Homes(const Service& aUpstreams,
-                                    const PlaceRequest& aRequest) const
+Placement::Group Placement::Homes(const Group& aUpstreams,
+                                  const PlaceRequest& aRequest) const
 {
   constexpr std::size_t kLocalHomes = 2;
   constexpr std::size_t kRemoteHomes = 2;
@@ -227,7 +227,7 @@
   for (const auto& [region, scored] : remote) {
     others.push_back(scored);
   }
-  Service homes;
+  Group homes;
   const auto take = [&homes](std::vector<Scored>& aFrom, std::size_t aCount) {
     std::sort(aFrom.rbegin(), aFrom.rend());
     for (std::size_t i = 0; i < std::min(aFrom.size(), aCount); ++i) {
@@ -241,7 +241,7 @@
 
 Warmth Placement::WarmthOf(const Upstream& aUpstream,
                            const PlaceRequest& aRequest,
-                           const Service& aHomes) const
+                           const Group& aHomes) const
 {
   if (!aRequest.mObject) {
     return Warmth::None;
@@ -261,7 +261,8 @@
 
 Placement::Candidate Placement::Rate(base::TimePoint aNow, Upstream& aUpstream,
                                      Warmth aWarmth,
-                                     const PlaceRequest& aRequest) const
+                                     const PlaceRequest& aRequest,
+                                     double aUsualFailures) const
 {
   const UpstreamGauge& gauge = aUpstream.mGauge;
   const base::Duration work =
@@ -279,10 +280,13 @@
   candidate.mIsHopeless = wait > base::Duration::zero() &&
                           mWork.IsKnown(aRequest.mKind) &&
                           candidate.mExpected > aRequest.mTimeLeft;
-  candidate.mCost = candidate.mExpected + gauge.Silence(aNow) +
-                    TransferCost(aUpstream, aRequest.mBytes) +
-                    Scale(aRequest.mLatencyTarget,
-                          mSettings.mFailureTargets * gauge.FailureShare(aNow));
+  // Failures that all upstreams share are no reason to leave warm ones.
+  const double failures =
+    std::max(0.0, gauge.FailureShare(aNow) - aUsualFailures);
+  candidate.mCost =
+    candidate.mExpected + gauge.Silence(aNow) +
+    TransferCost(aUpstream, aRequest.mBytes) +
+    Scale(aRequest.mLatencyTarget, mSettings.mFailureTargets * failures);
   return candidate;
 }
 
@@ -302,18 +306,19 @@
 }
 
 Placement::Candidate Placement::BestOf(base::TimePoint aNow,
-                                       const Service& aUpstreams,
+                                       const Service& aService,
                                        const PlaceRequest& aRequest) const
 {
-  const Service homes =
-    aRequest.mObject ? Homes(aUpstreams, aRequest) : Service();
+  const Group homes =
+    aRequest.mObject ? Homes(aService.mUpstreams, aRequest) : Group();
+  const double usual = aService.mFailures.Share(aNow);
   Candidate best;
-  for (Upstream* it : aUpstreams) {
+  for (Upstream* it : aService.mUpstreams) {
     if (!IsUsable(aNow, *it, aRequest)) {
       continue;
     }
     const Warmth warmth = WarmthOf(*it, aRequest, homes);
-    Candidate candidate = Rate(aNow, *it, warmth, aRequest);
+    Candidate candidate = Rate(aNow, *it, warmth, aRequest, usual);
     if (aRequest.mObject) {
       candidate.mCost +=
         Scale(aRequest.mLatencyTarget, StrayTargets(warmth));
@@ -376,6 +381,9 @@
     mWork.Learn(aRequest.mKind, aResult.mWarmth, *work,
                 aRequest.mLatencyTarget);
   }
+  if (const auto failure = FailureOf(aResult.mOutcome)) {
+    mServices[upstream->mSpec.mService].mFailures.Count(aNow, *failure);
+  }
   upstream->mGauge.OnEnded(aNow, aResult.mOutcome, work,
                            aResult.mExpectedWork);
   if (aResult.mReport) {
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -180,7 +180,14 @@
     /** Whether the response would come too late. */
     bool mIsHopeless = false;
   };
-  using Service = std::vector<Upstream*>;
+  using Group = std::vector<Upstream*>;
+  struct Service
+  {
+    Group mUpstreams;
+    /** Share of failures over all its upstreams. */
+    FailureMeter mFailures{ kServiceSampleWeight };
+  };
+  static constexpr double kServiceSampleWeight = 0.02;
 
   Upstream* Find(const base::UpstreamId& aId);
   /** \returns whether it takes requests of the kind at all. */
@@ -190,15 +197,14 @@
                 const PlaceRequest& aRequest) const;
   /** \returns the upstreams at which all hosts of this region expect the
    * object: two of this region and the first of up to two others. */
-  Service Homes(const Service& aUpstreams,
-                const PlaceRequest& aRequest) const;
+  Group Homes(const Group& aUpstreams, const PlaceRequest& aRequest) const;
   Warmth WarmthOf(const Upstream& aUpstream, const PlaceRequest& aRequest,
-                  const Service& aHomes) const;
+                  const Group& aHomes) const;
   double StrayTargets(Warmth aWarmth) const;
-  Candidate BestOf(base::TimePoint aNow, const Service& aUpstreams,
+  Candidate BestOf(base::TimePoint aNow, const Service& aService,
                    const PlaceRequest& aRequest) const;
   Candidate Rate(base::TimePoint aNow, Upstream& aUpstream, Warmth aWarmth,
-                 const PlaceRequest& aRequest) const;
+                 const PlaceRequest& aRequest, double aUsualFailures) const;
   base::Duration Trip(const Upstream& aUpstream) const;
   base::Duration TransferCost(const Upstream& aUpstream,
                               base::ByteCount aBytes) const;
--- a/packages/placing/src/UpstreamGauge.cpp
+++ b/packages/placing/src/UpstreamGauge.cpp
@@ -20,12 +20,9 @@
 /** Weight of one outcome in the share of failures. */
 constexpr double kFailureWeight = 0.2;
 
-/** Time after which a share of failures without new samples has halved. */
-constexpr Seconds kFailureHalfLife{ 1.5 };
-
-/** Without any response for this long, requests that time out are taken as a
- * sign that the upstream is gone. */
-constexpr base::Duration kSilence = std::chrono::milliseconds(500);
+/** Timeouts without a response in between that are taken as a sign that the
+ * upstream is gone. One may be a single long piece of work. */
+constexpr int kSilentTimeouts = 2;
 
 double Decay(base::Duration aAge, Seconds aLife)
 {
@@ -34,10 +31,29 @@
 
 } // namespace
 
+std::optional<double> FailureOf(Outcome aOutcome)
+{
+  constexpr double kRejection = 0.25;
+  switch (aOutcome) {
+    case Outcome::Answered:
+      return 0;
+    case Outcome::Rejected:
+      return kRejection;
+    case Outcome::Failed:
+    case Outcome::Unreachable:
+    case Outcome::TimedOut:
+      return 1;
+    case Outcome::Abandoned:
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
 UpstreamGauge::UpstreamGauge(const PlacingSettings& aSettings,
                              base::SlotCount aSlots)
   : mSettings(&aSettings)
   , mSlots(aSlots)
+  , mFailures(kFailureWeight)
 {
 }
 
@@ -70,21 +86,10 @@
     mPause = {};
     mPausedUntil.reset();
   }
-  if (aOutcome != Outcome::Abandoned) {
-    CountOutcome(aNow, aOutcome != Outcome::Answered);
-  }
-  const bool isSilent = aOutcome == Outcome::TimedOut && mSilentSince &&
-                        aNow - *mSilentSince >= kSilence;
-  if (aOutcome == Outcome::Unreachable || isSilent) {
-    Pause(aNow);
-  }
-  const bool isHeard =
-    aOutcome != Outcome::Abandoned && aOutcome != Outcome::TimedOut;
-  if (mOwn == 0) {
-    mSilentSince.reset();
-  } else if (isHeard) {
-    mSilentSince = aNow;
+  if (const auto failure = FailureOf(aOutcome)) {
+    mFailures.Count(aNow, *failure);
   }
+  HearOf(aNow, aOutcome);
   if (aWork) {
     LearnWork(*aWork, aExpected);
   }
@@ -104,11 +109,25 @@
   }
 }
 
-void UpstreamGauge::CountOutcome(base::TimePoint aNow, bool aIsFailure)
+void UpstreamGauge::HearOf(base::TimePoint aNow, Outcome aOutcome)
 {
-  const double share = FailureShare(aNow);
-  mFailures = share + kFailureWeight * ((aIsFailure ? 1.0 : 0.0) - share);
-  mFailuresAt = aNow;
+  const bool isHeard =
+    aOutcome != Outcome::Abandoned && aOutcome != Outcome::TimedOut;
+  if (isHeard) {
+    mSilentTimeouts = 0;
+  } else if (aOutcome == Outcome::TimedOut) {
+    ++mSilentTimeouts;
+  }
+  if (aOutcome == Outcome::Unreachable ||
+      mSilentTimeouts >= kSilentTimeouts) {
+    mSilentTimeouts = 0;
+    Pause(aNow);
+  }
+  if (mOwn == 0) {
+    mSilentSince.reset();
+  } else if (isHeard) {
+    mSilentSince = aNow;
+  }
 }
 
 void UpstreamGauge::OnHealthy(base::TimePoint aNow)
@@ -176,9 +195,4 @@
          (mSlowness - 1) * Decay(aNow - mReportedAt, mSettings->mSlownessLife);
 }
 
-double UpstreamGauge::FailureShare(base::TimePoint aNow) const
-{
-  return mFailures * std::exp2(-Seconds(aNow - mFailuresAt) / kFailureHalfLife);
-}
-
 } // namespace auburnmux::placing
--- a/packages/placing/src/UpstreamGauge.h
+++ b/packages/placing/src/UpstreamGauge.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "placing/src/FailureMeter.h"
 #include "placing/src/LoadReport.h"
 #include "placing/src/PlacingSettings.h"
 #include "placing/src/TokenBucket.h"
@@ -25,6 +26,11 @@
   Abandoned
 };
 
+/** \returns how much of a failure the outcome is, 0 to 1; none when it says
+ * nothing of the upstream. A rejected request did not run and can go
+ * elsewhere. */
+std::optional<double> FailureOf(Outcome aOutcome);
+
 /**
  * Load and soundness of one upstream as one host sees them: its own requests
  * exactly, those of other hosts by the upstream's latest report.
@@ -67,8 +73,12 @@
   double Pace() const { return mPace; }
   /** \returns how much longer than usual work takes; at least 1. */
   double Slowness(base::TimePoint aNow) const;
-  /** \returns the share of requests that fail there, 0 to 1. */
-  double FailureShare(base::TimePoint aNow) const;
+  /** \returns the share of requests that fail there, 0 to 1. Rejections count
+   * for a part, see FailureOf(). */
+  double FailureShare(base::TimePoint aNow) const
+  {
+    return mFailures.Share(aNow);
+  }
   /** \returns whether it gets no requests because connections failed. */
   bool IsPaused() const { return mPausedUntil.has_value(); }
   /** \returns when a health check is due; none while it isn't paused. */
@@ -80,8 +90,9 @@
   base::Duration Silence(base::TimePoint aNow) const;
 
 private:
-  void CountOutcome(base::TimePoint aNow, bool aIsFailure);
   void LearnWork(base::Duration aWork, base::Duration aExpected);
+  /** Judges from an outcome whether the upstream still responds. */
+  void HearOf(base::TimePoint aNow, Outcome aOutcome);
   void Pause(base::TimePoint aNow);
 
   const PlacingSettings* mSettings;
@@ -93,8 +104,9 @@
   double mPace = 1;
   /** Mean time that a request occupies a slot. */
   base::Duration mMeanWork = std::chrono::milliseconds(200);
-  double mFailures = 0;
-  base::TimePoint mFailuresAt;
+  FailureMeter mFailures;
+  /** Requests that timed out since the last response. */
+  int mSilentTimeouts = 0;
   std::optional<base::TimePoint> mPausedUntil;
   base::Duration mPause{};
   std::optional<base::TimePoint> mSilentSince;
