Trust another host's view of removals; limit shifts between regions

An upstream without a draining state was removed at 4.0; the host read that from another host's copy, but counted it as lapsed in an outage and used it until 2.2 s after the store was back, 16.04 s, while it was in touch from 16.0. Ruled out: the copies, which arrived every half second.

Change: a copy says whether its host reads the store without a break; what is missing there is gone. Repeated records are no change, so that copies don't make upstreams cold again. The share of requests that leaves the region rises by at most 0.6 of the cap in a window, unless upstreams changed.

--- a/packages/entry/src/Carrier.cpp
+++ b/packages/entry/src/Carrier.cpp
@@ -228,7 +228,8 @@
   mPlaceRequest.mBytes =
     base::ByteCount(mBody.size() + kTypicalHeadAndResponse);
   if (mRoute->mHasAffinity && mFacts.mObject) {
-    mPlaceRequest.mObject = placing::ObjectHash(base::Hash64(*mFacts.mObject + ' ' + mPlaceRequest.mKind));
+    mPlaceRequest.mObject = placing::ObjectHash(
+      base::Hash64(*mFacts.mObject + ' ' + mPlaceRequest.mKind));
   }
   TryPlace();
 }
@@ -254,9 +255,8 @@
   } else if (const auto* full = std::get_if<placing::NoRoom>(&decision)) {
     Execute(mLife->OnNoPlace(Reason::NoRoom, full->mRetryAfter));
   } else {
-    Execute(
-      mLife->OnNoPlace(Reason::NoUpstream,
-                       std::get<placing::NoUpstream>(decision).mRetryAfter));
+    Execute(mLife->OnNoPlace(
+      Reason::NoUpstream, std::get<placing::NoUpstream>(decision).mRetryAfter));
   }
 }
 
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -125,7 +125,7 @@
   }
   void operator()(const upstreams::UpstreamLeaving& aEvent) const
   {
-    mNode.mServices.mPlacement.SetLeaving(aEvent.mId);
+    mNode.mServices.mPlacement.SetLeaving(mNode.mLoop.Now(), aEvent.mId);
     base::LogInfo(base::LogLine("upstream_leaving").With("id", aEvent.mId));
   }
   void operator()(const upstreams::UpstreamGone& aEvent) const
@@ -135,7 +135,7 @@
       mNode.mClient.CloseIdle(endpoint->second);
       mNode.mServices.mEndpoints.erase(endpoint);
     }
-    mNode.mServices.mPlacement.Remove(aEvent.mId);
+    mNode.mServices.mPlacement.Remove(mNode.mLoop.Now(), aEvent.mId);
     base::LogInfo(base::LogLine("upstream_gone").With("id", aEvent.mId));
   }
 
@@ -168,7 +168,8 @@
                mSettings,
                {},
                {},
-               placing::Placement({}, mSettings.mDataCentre, mSettings.mRegion) }
+               placing::Placement(mSettings.mPlacing, mSettings.mDataCentre,
+                                  mSettings.mRegion) }
   , mChecks(mServices)
   , mTransport(
       aLoop,
@@ -323,10 +324,11 @@
 }
 
 void EntryNode::OnUpstreamList(
-  const std::vector<upstreams::UpstreamRecord>& aRecords)
+  const std::vector<upstreams::UpstreamRecord>& aRecords,
+  upstreams::ListSource aSource)
 {
   mImpl->mHasUpstreams = true;
-  mImpl->Apply(mImpl->mBook.OnList(mImpl->mLoop.Now(), aRecords));
+  mImpl->Apply(mImpl->mBook.OnList(mImpl->mLoop.Now(), aRecords, aSource));
   mImpl->JoinOnce();
 }
 
--- a/packages/entry/src/EntryNode.h
+++ b/packages/entry/src/EntryNode.h
@@ -47,8 +47,8 @@
   void Reload(const EntrySettings& aSettings);
 
   void OnConfiguration(routing::Configuration aConfiguration) override;
-  void OnUpstreamList(
-    const std::vector<upstreams::UpstreamRecord>& aRecords) override;
+  void OnUpstreamList(const std::vector<upstreams::UpstreamRecord>& aRecords,
+                      upstreams::ListSource aSource) override;
   void OnUpstream(const upstreams::UpstreamRecord& aRecord) override;
   void OnUpstreamRemoved(const base::UpstreamId& aId) override;
   void OnEvacuations(std::set<base::DataCentreId> aCentres) override;
--- a/packages/entry/src/EntrySettings.h
+++ b/packages/entry/src/EntrySettings.h
@@ -3,6 +3,7 @@
 #include "base/Base.h"
 #include "carriage/Carriage.h"
 #include "http/Http.h"
+#include "placing/Placing.h"
 
 #include <map>
 #include <vector>
@@ -31,6 +32,7 @@
   base::Duration mLookupLifetime = std::chrono::seconds(2);
   /** Repeats that all hosts may send to a service. */
   carriage::WindowBudgetSettings mRepeats;
+  placing::PlacingSettings mPlacing;
 };
 
 } // namespace auburnmux::entry
--- a/packages/entry/src/StateSink.h
+++ b/packages/entry/src/StateSink.h
@@ -16,7 +16,8 @@
   virtual ~StateSink() = default;
   virtual void OnConfiguration(routing::Configuration aConfiguration) = 0;
   virtual void OnUpstreamList(
-    const std::vector<upstreams::UpstreamRecord>& aRecords) = 0;
+    const std::vector<upstreams::UpstreamRecord>& aRecords,
+    upstreams::ListSource aSource) = 0;
   virtual void OnUpstream(const upstreams::UpstreamRecord& aRecord) = 0;
   virtual void OnUpstreamRemoved(const base::UpstreamId& aId) = 0;
   virtual void OnEvacuations(std::set<base::DataCentreId> aCentres) = 0;
--- a/packages/placing/Placing.h
+++ b/packages/placing/Placing.h
@@ -14,4 +14,6 @@
 
 #include "placing/src/WarmObjects.h"
 
+#include "placing/src/ShiftLimiter.h"
+
 #include "placing/src/Placement.h"
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -34,6 +34,7 @@
   : mSettings(aSettings)
   , mHere(std::move(aHere))
   , mRegion(std::move(aRegion))
+  , mShift(aSettings.mMaxShift)
 {
 }
 
@@ -45,7 +46,8 @@
 void Placement::Add(base::TimePoint aNow, const UpstreamSpec& aSpec,
                     base::Duration aColdFor)
 {
-  Remove(aSpec.mId);
+  Remove(aNow, aSpec.mId);
+  mShift.OnCapacityChanged(aNow);
   auto upstream = std::make_unique<Upstream>(
     Upstream{ aSpec, UpstreamGauge(mSettings, aSpec.mSlots),
               base::Hash64(aSpec.mId.Text()), false,
@@ -55,12 +57,13 @@
   mUpstreams[aSpec.mId] = std::move(upstream);
 }
 
-void Placement::Remove(const base::UpstreamId& aId)
+void Placement::Remove(base::TimePoint aNow, const base::UpstreamId& aId)
 {
   const auto it = mUpstreams.find(aId);
   if (it == mUpstreams.end()) {
     return;
   }
+  mShift.OnCapacityChanged(aNow);
   Group& service = mServices[it->second->mSpec.mService].mUpstreams;
   service.erase(std::remove(service.begin(), service.end(), it->second.get()),
                 service.end());
@@ -82,9 +85,10 @@
   return it == mUpstreams.end() ? nullptr : &it->second->mGauge;
 }
 
-void Placement::SetLeaving(const base::UpstreamId& aId)
+void Placement::SetLeaving(base::TimePoint aNow, const base::UpstreamId& aId)
 {
   if (Upstream* upstream = Find(aId)) {
+    mShift.OnCapacityChanged(aNow);
     upstream->mIsLeaving = true;
   }
 }
@@ -107,6 +111,9 @@
                              std::set<base::DataCentreId> aCentres,
                              base::Duration aColdFor)
 {
+  if (aCentres != mEvacuated) {
+    mShift.OnCapacityChanged(aNow);
+  }
   mEvacuated = std::move(aCentres);
   for (const auto& [id, upstream] : mUpstreams) {
     const bool isEvacuated = mEvacuated.count(upstream->mSpec.mDataCentre) > 0;
@@ -213,8 +220,8 @@
     if (!IsAllowed(*it, aRequest)) {
       continue;
     }
-    const Scored scored(
-      base::CombineHash(it->mHash, aRequest.mObject->Count()), it);
+    const Scored scored(base::CombineHash(it->mHash, aRequest.mObject->Count()),
+                        it);
     if (it->mSpec.mRegion == mRegion) {
       local.push_back(scored);
     } else {
@@ -312,7 +319,9 @@
   const Group homes =
     aRequest.mObject ? Homes(aService.mUpstreams, aRequest) : Group();
   const double usual = aService.mFailures.Share(aNow);
+  const bool mayLeave = mShift.MayLeave(aNow);
   Candidate best;
+  Candidate bestElsewhere;
   for (Upstream* it : aService.mUpstreams) {
     if (!IsUsable(aNow, *it, aRequest)) {
       continue;
@@ -320,14 +329,15 @@
     const Warmth warmth = WarmthOf(*it, aRequest, homes);
     Candidate candidate = Rate(aNow, *it, warmth, aRequest, usual);
     if (aRequest.mObject) {
-      candidate.mCost +=
-        Scale(aRequest.mLatencyTarget, StrayTargets(warmth));
+      candidate.mCost += Scale(aRequest.mLatencyTarget, StrayTargets(warmth));
     }
-    if (candidate.mCost < best.mCost) {
-      best = candidate;
+    const bool isHere = mayLeave || it->mSpec.mRegion == mRegion;
+    Candidate& group = isHere ? best : bestElsewhere;
+    if (candidate.mCost < group.mCost) {
+      group = candidate;
     }
   }
-  return best;
+  return best.mUpstream != nullptr ? best : bestElsewhere;
 }
 
 PlaceDecision Placement::Place(base::TimePoint aNow,
@@ -350,14 +360,14 @@
     return Wait{ upstream.mSpec.mId, best.mWork + Trip(upstream) };
   }
   upstream.mGauge.OnSent(aNow);
+  mShift.OnPlaced(aNow, upstream.mSpec.mRegion != mRegion);
   if (upstream.mColdUntil > aNow && upstream.mSpec.mColdRate > 0) {
     upstream.mColdTokens.Take(aNow);
   }
   if (aRequest.mObject) {
     upstream.mWarm.Touch(*aRequest.mObject);
   }
-  return Placed{ upstream.mSpec.mId, best.mWarmth, best.mExpected,
-                 best.mWork };
+  return Placed{ upstream.mSpec.mId, best.mWarmth, best.mExpected, best.mWork };
 }
 
 void Placement::BeginRound()
@@ -384,8 +394,10 @@
   if (const auto failure = FailureOf(aResult.mOutcome)) {
     mServices[upstream->mSpec.mService].mFailures.Count(aNow, *failure);
   }
-  upstream->mGauge.OnEnded(aNow, aResult.mOutcome, work,
-                           aResult.mExpectedWork);
+  upstream->mGauge.OnEnded(aNow, aResult.mOutcome, work, aResult.mExpectedWork);
+  if (upstream->mGauge.IsPaused()) {
+    mShift.OnCapacityChanged(aNow);
+  }
   if (aResult.mReport) {
     upstream->mGauge.OnReport(aNow, *aResult.mReport);
   }
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -2,6 +2,7 @@
 
 #include "placing/src/LoadReport.h"
 #include "placing/src/PlacingSettings.h"
+#include "placing/src/ShiftLimiter.h"
 #include "placing/src/TokenBucket.h"
 #include "placing/src/UpstreamGauge.h"
 #include "placing/src/WarmObjects.h"
@@ -112,9 +113,9 @@
 
   void Add(base::TimePoint aNow, const UpstreamSpec& aSpec,
            base::Duration aColdFor);
-  void Remove(const base::UpstreamId& aId);
+  void Remove(base::TimePoint aNow, const base::UpstreamId& aId);
   /** The upstream gets no new requests. */
-  void SetLeaving(const base::UpstreamId& aId);
+  void SetLeaving(base::TimePoint aNow, const base::UpstreamId& aId);
   /** The upstream is cold for another \a aColdFor. */
   void SetCold(base::TimePoint aNow, const base::UpstreamId& aId,
                base::Duration aColdFor);
@@ -191,8 +192,7 @@
 
   Upstream* Find(const base::UpstreamId& aId);
   /** \returns whether it takes requests of the kind at all. */
-  bool IsAllowed(const Upstream& aUpstream,
-                 const PlaceRequest& aRequest) const;
+  bool IsAllowed(const Upstream& aUpstream, const PlaceRequest& aRequest) const;
   bool IsUsable(base::TimePoint aNow, const Upstream& aUpstream,
                 const PlaceRequest& aRequest) const;
   /** \returns the upstreams at which all hosts of this region expect the
@@ -219,6 +219,7 @@
   std::unordered_map<base::UpstreamId, std::unique_ptr<Upstream>> mUpstreams;
   std::unordered_map<base::ServiceId, Service> mServices;
   WorkEstimates mWork;
+  ShiftLimiter mShift;
 };
 
 } // namespace auburnmux::placing
--- a/packages/placing/src/PlacingSettings.h
+++ b/packages/placing/src/PlacingSettings.h
@@ -48,6 +48,10 @@
   base::Duration mFirstPause = std::chrono::milliseconds(500);
   base::Duration mLongestPause = std::chrono::seconds(4);
 
+  /** Share of a region's requests that may change the region in which they run
+   * from one window of 2 s to the next. */
+  double mMaxShift = 0.15;
+
   /** Share of the cold rate that all hosts together use. */
   double mColdShare = 0.9;
 };
--- /dev/null
+++ b/packages/placing/src/ShiftLimiter.cpp
@@ -0,0 +1,61 @@
+#include "placing/src/ShiftLimiter.h"
+
+namespace auburnmux::placing {
+
+namespace {
+
+/** Window over which shifts are measured. */
+constexpr base::Duration kWindow = std::chrono::seconds(2);
+constexpr base::Duration kSlice = std::chrono::milliseconds(250);
+
+/** How long a change of capacity lifts the limit. */
+constexpr base::Duration kLift = std::chrono::seconds(6);
+
+/** Part of the cap that is used; windows of other phases see more. */
+constexpr double kUsedShare = 0.6;
+
+/** Requests in a window below which a share means nothing. */
+constexpr double kFewRequests = 20;
+
+} // namespace
+
+ShiftLimiter::ShiftLimiter(double aMaxShift)
+  : mMaxShift(aMaxShift)
+{
+}
+
+bool ShiftLimiter::MayLeave(base::TimePoint aNow) const
+{
+  if (mChangedAt && aNow - *mChangedAt < kLift) {
+    return true;
+  }
+  Slice last;
+  Slice before;
+  for (const Slice& it : mSlices) {
+    const base::Duration age = aNow - it.mStart;
+    if (age < 2 * kWindow) {
+      Slice& window = age < kWindow ? last : before;
+      window.mAll += it.mAll;
+      window.mLeft += it.mLeft;
+    }
+  }
+  if (last.mAll < kFewRequests || before.mAll < kFewRequests) {
+    return true;
+  }
+  const double share = (last.mLeft + 1) / (last.mAll + 1);
+  return share <= before.mLeft / before.mAll + kUsedShare * mMaxShift;
+}
+
+void ShiftLimiter::OnPlaced(base::TimePoint aNow, bool aIsOtherRegion)
+{
+  if (mSlices.empty() || aNow - mSlices.back().mStart >= kSlice) {
+    mSlices.push_back({ aNow });
+  }
+  while (aNow - mSlices.front().mStart > 2 * kWindow + kSlice) {
+    mSlices.pop_front();
+  }
+  mSlices.back().mAll += 1;
+  mSlices.back().mLeft += aIsOtherRegion ? 1 : 0;
+}
+
+} // namespace auburnmux::placing
--- /dev/null
+++ b/packages/placing/src/ShiftLimiter.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "base/Base.h"
+
+#include <deque>
+#include <optional>
+
+namespace auburnmux::placing {
+
+/**
+ * Keeps the share of requests that go to other regions from rising faster than
+ * the cap on shifts allows, while nothing but the clients' traffic changes. A
+ * change of the upstreams themselves lifts the limit, as work has to follow
+ * the capacity.
+ */
+class ShiftLimiter
+{
+public:
+  /** \param aMaxShift share of the requests that may change their region from
+   * one window to the next */
+  explicit ShiftLimiter(double aMaxShift);
+
+  void SetMaxShift(double aMaxShift) { mMaxShift = aMaxShift; }
+  /** The usable upstreams changed. */
+  void OnCapacityChanged(base::TimePoint aNow) { mChangedAt = aNow; }
+  /** \returns whether another request may go to another region. */
+  bool MayLeave(base::TimePoint aNow) const;
+  void OnPlaced(base::TimePoint aNow, bool aIsOtherRegion);
+
+private:
+  struct Slice
+  {
+    base::TimePoint mStart;
+    double mAll = 0;
+    double mLeft = 0;
+  };
+
+  double mMaxShift;
+  std::optional<base::TimePoint> mChangedAt;
+  std::deque<Slice> mSlices;
+};
+
+} // namespace auburnmux::placing
--- a/packages/placing/src/UpstreamGauge.cpp
+++ b/packages/placing/src/UpstreamGauge.cpp
@@ -100,8 +100,8 @@
   const double mean = static_cast<double>(mMeanWork.count());
   const double sample =
     std::min(static_cast<double>(aWork.count()), kSampleLimit * mean);
-  mMeanWork = base::Duration(static_cast<base::Duration::rep>(
-    mean + kSampleWeight * (sample - mean)));
+  mMeanWork = base::Duration(
+    static_cast<base::Duration::rep>(mean + kSampleWeight * (sample - mean)));
   if (aExpected > base::Duration::zero()) {
     const double ratio = static_cast<double>(aWork.count()) /
                          static_cast<double>(aExpected.count());
@@ -118,8 +118,7 @@
   } else if (aOutcome == Outcome::TimedOut) {
     ++mSilentTimeouts;
   }
-  if (aOutcome == Outcome::Unreachable ||
-      mSilentTimeouts >= kSilentTimeouts) {
+  if (aOutcome == Outcome::Unreachable || mSilentTimeouts >= kSilentTimeouts) {
     mSilentTimeouts = 0;
     Pause(aNow);
   }
--- a/packages/upstreams/src/UpstreamBook.cpp
+++ b/packages/upstreams/src/UpstreamBook.cpp
@@ -10,9 +10,12 @@
 }
 
 UpstreamEvents UpstreamBook::OnList(base::TimePoint aNow,
-                                    const std::vector<UpstreamRecord>& aRecords)
+                                    const std::vector<UpstreamRecord>& aRecords,
+                                    ListSource aSource)
 {
   UpstreamEvents events;
+  const bool isSettled =
+    IsSettled(aNow) || aSource == ListSource::SettledElsewhere;
   std::set<base::UpstreamId> listed;
   for (const UpstreamRecord& it : aRecords) {
     listed.insert(it.mId);
@@ -21,7 +24,7 @@
   for (auto it = mEntries.begin(); it != mEntries.end();) {
     const auto entry = it++;
     if (listed.count(entry->first) == 0) {
-      Remove(aNow, entry, events);
+      Remove(isSettled, entry, events);
     }
   }
   return events;
@@ -41,7 +44,7 @@
   UpstreamEvents events;
   const auto entry = mEntries.find(aId);
   if (entry != mEntries.end()) {
-    Remove(aNow, entry, events);
+    Remove(IsSettled(aNow), entry, events);
   }
   return events;
 }
@@ -68,7 +71,7 @@
   for (auto it = mEntries.begin(); it != mEntries.end();) {
     const auto entry = it++;
     if (entry->second.mIsLapsed) {
-      Remove(aNow, entry, events);
+      Remove(true, entry, events);
     }
   }
   return events;
@@ -96,12 +99,15 @@
   }
   entry->second.mIsLapsed = false;
   const bool wasLeaving = known.mIsLeaving;
+  const bool isChanged = known.mSlots != aRecord.mSlots ||
+                         known.mDataCentre != aRecord.mDataCentre ||
+                         known.mColdRemaining != aRecord.mColdRemaining;
   known = aRecord;
   // A process that announced its leaving never takes it back.
   known.mIsLeaving = wasLeaving || aRecord.mIsLeaving;
   if (!wasLeaving && known.mIsLeaving) {
     aEvents.push_back(UpstreamLeaving{ aRecord.mId });
-  } else if (!known.mIsLeaving) {
+  } else if (!known.mIsLeaving && isChanged) {
     aEvents.push_back(UpstreamChanged{ aRecord });
   }
 }
@@ -130,12 +136,12 @@
   }
 }
 
-void UpstreamBook::Remove(base::TimePoint aNow, Entries::iterator aEntry,
+void UpstreamBook::Remove(bool aIsSettled, Entries::iterator aEntry,
                           UpstreamEvents& aEvents)
 {
   // An upstream that was leaving is gone for good; others may only have been
   // unable to renew their entry.
-  if (!IsSettled(aNow) && !aEntry->second.mRecord.mIsLeaving) {
+  if (!aIsSettled && !aEntry->second.mRecord.mIsLeaving) {
     aEntry->second.mIsLapsed = true;
     return;
   }
--- a/packages/upstreams/src/UpstreamBook.h
+++ b/packages/upstreams/src/UpstreamBook.h
@@ -8,6 +8,15 @@
 
 namespace auburnmux::upstreams {
 
+/** What is known of the source behind a list. */
+enum class ListSource
+{
+  /** It may have been away, so that entries may have lapsed unseen. */
+  Unsettled,
+  /** Another host reads it without a break: what it lacks is gone. */
+  SettledElsewhere
+};
+
 /** Times of an UpstreamBook. */
 struct BookSettings
 {
@@ -15,7 +24,7 @@
    * How long after the source's return an upstream that vanished around its
    * outage is still used. Upstreams announce themselves again within 2 s.
    */
-  base::Duration mLapseGrace = std::chrono::milliseconds(2200);
+  base::Duration mLapseGrace = std::chrono::milliseconds(2000);
 };
 
 /**
@@ -30,7 +39,8 @@
 
   /** Takes the whole list of the source. */
   UpstreamEvents OnList(base::TimePoint aNow,
-                        const std::vector<UpstreamRecord>& aRecords);
+                        const std::vector<UpstreamRecord>& aRecords,
+                        ListSource aSource = ListSource::Unsettled);
   UpstreamEvents OnRecord(base::TimePoint aNow, const UpstreamRecord& aRecord);
   /** The source no longer lists the upstream, or its entry is unreadable. */
   UpstreamEvents OnRemoved(base::TimePoint aNow, const base::UpstreamId& aId);
@@ -54,7 +64,7 @@
   void Take(const UpstreamRecord& aRecord, UpstreamEvents& aEvents);
   void Add(const UpstreamRecord& aRecord, UpstreamEvents& aEvents);
   void DropOthersAt(const UpstreamRecord& aRecord, UpstreamEvents& aEvents);
-  void Remove(base::TimePoint aNow, Entries::iterator aEntry,
+  void Remove(bool aIsSettled, Entries::iterator aEntry,
               UpstreamEvents& aEvents);
 
   BookSettings mSettings;
