--- a/packages/entry/src/Dispatcher.cpp
+++ b/packages/entry/src/Dispatcher.cpp
@@ -21,7 +21,15 @@
   : mLoop(aLoop)
   , mPlacement(aPlacement)
 {
-  mLoop.Every(kIdleRound, [this] { RunRound(); });
+  mIdleRounds = mLoop.Every(kIdleRound, [this] { RunRound(); });
+}
+
+Dispatcher::~Dispatcher()
+{
+  mLoop.Cancel(mIdleRounds);
+  if (mNextRound) {
+    mLoop.Cancel(*mNextRound);
+  }
 }
 
 admission::Ticket Dispatcher::Enter(std::uint32_t aRank,
@@ -42,15 +50,16 @@
 
 void Dispatcher::OnRoom()
 {
-  if (!mIsRoundDue && !mRoom.IsEmpty()) {
-    mIsRoundDue = true;
-    mLoop.After(kRoundPause, [this] { RunRound(); });
+  if (!mNextRound && !mRoom.IsEmpty()) {
+    mNextRound = mLoop.After(kRoundPause, [this] {
+      mNextRound.reset();
+      RunRound();
+    });
   }
 }
 
 void Dispatcher::RunRound()
 {
-  mIsRoundDue = false;
   if (mRoom.IsEmpty()) {
     return;
   }
--- a/packages/entry/src/Dispatcher.h
+++ b/packages/entry/src/Dispatcher.h
@@ -5,6 +5,7 @@
 #include "placing/Placing.h"
 
 #include <functional>
+#include <optional>
 #include <unordered_map>
 
 namespace auburnmux::entry {
@@ -17,6 +18,9 @@
   using Turn = std::function<void()>;
 
   Dispatcher(http::Loop& aLoop, placing::Placement& aPlacement);
+  ~Dispatcher();
+  Dispatcher(const Dispatcher&) = delete;
+  Dispatcher& operator=(const Dispatcher&) = delete;
 
   /** \returns a ticket with which the request leaves.
    * \param aSendBy when it has to be sent to meet its latency target */
@@ -35,7 +39,9 @@
   admission::WaitingRoom mRoom;
   std::unordered_map<admission::Ticket, Turn> mTurns;
   std::uint64_t mLastTicket = 0;
-  bool mIsRoundDue = false;
+  http::Loop::TimerId mIdleRounds;
+  /** Set while a round is due. */
+  std::optional<http::Loop::TimerId> mNextRound;
 };
 
 } // namespace auburnmux::entry
--- a/packages/http/src/ClientLink.cpp
+++ b/packages/http/src/ClientLink.cpp
@@ -242,9 +242,6 @@
 
 bool ClientLink::ParseInput()
 {
-  if (mInStart == mIn.size() && mHasHead) {
-    return false;
-  }
   const std::string_view bytes = std::string_view(mIn).substr(mInStart);
   const ReadStep step = mReader->Read(bytes, *this);
   mInStart += step.mConsumed;
--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -398,6 +398,22 @@
   STRCMP_EQUAL("fresh", Fetch(request).mBody.c_str());
 }
 
+// Found by the platform's path test: a response without a body ended only with
+// its connection or the caller's patience.
+TEST(Http, EmptyResponseIsCompleteAtOnce)
+{
+  const base::PortNumber port(19223);
+  http::Server server(mLoop, { kAddress, port },
+                      [](const std::shared_ptr<ServerExchange>& aExchange) {
+                        aExchange->Respond(503, { { "not-run", "1" } }, "");
+                      });
+  for (int i = 0; i < 3; ++i) {
+    const FetchResult result = Fetch({ { kAddress, port } });
+    CHECK_FALSE(result.mFailure.has_value());
+    LONGS_EQUAL(503, result.mHead.mStatus);
+  }
+}
+
 // Guards against bodies in chunks that are refused or lose a part.
 TEST(Http, ChunkedRequestArrivesWhole)
 {
