--- a/apps/auburnmuxd/Main.cpp
+++ b/apps/auburnmuxd/Main.cpp
@@ -2,7 +2,6 @@
 #include "platform/Platform.h"
 
 #include <csignal>
-#include <cstdlib>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
@@ -14,9 +13,6 @@
 
 constexpr int kBadUsage = 2;
 
-/** Environment variable that holds the path of the platform's settings. */
-constexpr const char* kPlatformSettings = "AUBURNMUX_CONFIG";
-
 std::optional<std::string> ReadFile(const std::string& aName)
 {
   std::ifstream in(aName, std::ios::binary);
@@ -82,13 +78,8 @@
     return 0;
   }
   if (parsed.count("on-platform") > 0) {
-    const char* file = std::getenv(kPlatformSettings);
-    if (file == nullptr) {
-      std::cerr << "auburnmuxd: " << kPlatformSettings << " is not set\n";
-      return kBadUsage;
-    }
     SetLogLevel(auburnmux::config::LogLevel::Info);
-    return auburnmux::platform::RunOnPlatform(file);
+    return auburnmux::platform::RunOnPlatform();
   }
   if (parsed.count("settings") == 0 || !parsed.unmatched().empty()) {
     std::cerr << options.help();
--- a/packages/entry/src/Carrier.cpp
+++ b/packages/entry/src/Carrier.cpp
@@ -494,6 +494,12 @@
       .With("waited_ms", Milliseconds(mWaited));
   }
   base::LogInfo(line);
+  if (mRoute) {
+    const base::TimePoint now = mServices.mLoop.Now();
+    mServices.mMetrics.Observe("auburnmux_request_seconds",
+                               { { "route", mRoute->mId.Text() } }, now,
+                               now - mArrived);
+  }
   mServices.mMetrics.Count("auburnmux_requests_total",
                            { { "outcome", std::string(aOutcome) } });
 }
--- a/packages/placing/test/PlacementTest.cpp
+++ b/packages/placing/test/PlacementTest.cpp
@@ -42,7 +42,8 @@
 
 TEST_GROUP(Placement)
 {
-  Placement mPlacement{ {}, base::DataCentreId("here-a"),
+  Placement mPlacement{ {},
+                        base::DataCentreId("here-a"),
                         base::RegionId("here") };
 
   void AddUpstreams(int aHere, int aThere)
@@ -60,8 +61,7 @@
   {
     const PlaceDecision decision = mPlacement.Place(aNow, aRequest);
     const auto* place = std::get_if<Placed>(&decision);
-    return place == nullptr ? std::nullopt
-                            : std::optional(place->mUpstream);
+    return place == nullptr ? std::nullopt : std::optional(place->mUpstream);
   }
   void Answer(base::TimePoint aNow, const PlaceRequest& aRequest,
               const base::UpstreamId& aUpstream, Outcome aOutcome)
@@ -126,8 +126,8 @@
   request.mLatencyTarget = milliseconds(5000);
   request.mTimeLeft = milliseconds(400);
   for (int i = 0; i < 12; ++i) {
-    CHECK_FALSE(std::holds_alternative<NoRoom>(
-      mPlacement.Place(At(i), request)));
+    CHECK_FALSE(
+      std::holds_alternative<NoRoom>(mPlacement.Place(At(i), request)));
   }
 }
 
--- a/packages/placing/test/PlayedDay.cpp
+++ b/packages/placing/test/PlayedDay.cpp
@@ -70,12 +70,12 @@
     for (int i = 0; i < mSettings.mUpstreams[static_cast<std::size_t>(region)];
          ++i) {
       auto upstream = std::make_unique<Upstream>();
-      upstream->mSpec = { base::UpstreamId("u" + std::to_string(region) + '-' +
-                                           std::to_string(i)),
-                          base::ServiceId("service"), CentreOf(region),
-                          RegionOf(region),
-                          base::SlotCount(
-                            static_cast<std::uint32_t>(mSettings.mSlots)) };
+      upstream->mSpec = {
+        base::UpstreamId("u" + std::to_string(region) + '-' +
+                         std::to_string(i)),
+        base::ServiceId("service"), CentreOf(region), RegionOf(region),
+        base::SlotCount(static_cast<std::uint32_t>(mSettings.mSlots))
+      };
       mById[upstream->mSpec.mId] = upstream.get();
       mUpstreams.push_back(std::move(upstream));
     }
@@ -86,8 +86,8 @@
   }
   for (int i = 0; i < mSettings.mRegions * mSettings.mHostsPerRegion; ++i) {
     mHosts.push_back(std::make_unique<Host>(i % mSettings.mRegions, placing));
-    mHosts.back()->mPlacement.SetHostCount(static_cast<std::size_t>(
-      mSettings.mRegions * mSettings.mHostsPerRegion));
+    mHosts.back()->mPlacement.SetHostCount(
+      static_cast<std::size_t>(mSettings.mRegions * mSettings.mHostsPerRegion));
     for (const auto& it : mUpstreams) {
       mHosts.back()->mPlacement.Add(base::TimePoint(), it->mSpec, {});
     }
@@ -143,9 +143,9 @@
   auto request = std::make_shared<Request>();
   request->mHost = &aHost;
   request->mArrived = mNow;
-  request->mObject = static_cast<std::uint64_t>(aRegion) * 1000 +
-                     mRandom.Below(static_cast<std::uint64_t>(
-                       mSettings.mObjects));
+  request->mObject =
+    static_cast<std::uint64_t>(aRegion) * 1000 +
+    mRandom.Below(static_cast<std::uint64_t>(mSettings.mObjects));
   request->mPlace.mService = base::ServiceId("service");
   request->mPlace.mKind = "check";
   request->mPlace.mLatencyTarget = mSettings.mLatencyTarget;
@@ -176,8 +176,7 @@
       aHost.mWaiting.erase(aRequest->mTicket.Count());
     }
   };
-  aRequest->mPlace.mTimeLeft =
-    mSettings.mTimeout - (mNow - aRequest->mArrived);
+  aRequest->mPlace.mTimeLeft = mSettings.mTimeout - (mNow - aRequest->mArrived);
   const PlaceDecision decision =
     aRequest->mPlace.mTimeLeft <= base::Duration::zero()
       ? PlaceDecision(NoRoom{})
@@ -186,9 +185,9 @@
     if (!aRequest->mIsWaiting) {
       aRequest->mIsWaiting = true;
       aRequest->mTicket = admission::Ticket(++aHost.mLastTicket);
-      aHost.mRoom.Add({ aRequest->mTicket, 0, aRequest->mArrived,
-                        aRequest->mArrived + mSettings.mLatencyTarget -
-                          wait->mService });
+      aHost.mRoom.Add(
+        { aRequest->mTicket, 0, aRequest->mArrived,
+          aRequest->mArrived + mSettings.mLatencyTarget - wait->mService });
       aHost.mWaiting[aRequest->mTicket.Count()] = aRequest;
     }
     return;
@@ -204,9 +203,9 @@
     At(aRequest->mArrived + mSettings.mTimeout, [this, &aHost, aRequest] {
       if (!aRequest->mIsOver) {
         aRequest->mIsOver = true;
-        aHost.mPlacement.OnResult(mNow, aRequest->mPlace,
-                                  { aRequest->mPlaced.mUpstream,
-                                    Outcome::TimedOut });
+        aHost.mPlacement.OnResult(
+          mNow, aRequest->mPlace,
+          { aRequest->mPlaced.mUpstream, Outcome::TimedOut });
       }
     });
   } else {
@@ -242,8 +241,8 @@
     }
     ++aUpstream.mRunning;
     auto& memory = aUpstream.mMemory;
-    const auto known = std::find(memory.begin(), memory.end(),
-                                 request->mObject);
+    const auto known =
+      std::find(memory.begin(), memory.end(), request->mObject);
     const bool isWarm = known != memory.end();
     if (isWarm) {
       memory.erase(known);
@@ -263,11 +262,9 @@
   --aUpstream.mRunning;
   const bool isLocal =
     aUpstream.mSpec.mRegion == RegionOf(aRequest->mHost->mRegion);
-  const LoadReport report{
-    static_cast<std::uint32_t>(aUpstream.mRunning),
-    static_cast<std::uint32_t>(aUpstream.mQueue.size()), aUpstream.mSpec.mSlots,
-    1
-  };
+  const LoadReport report{ static_cast<std::uint32_t>(aUpstream.mRunning),
+                           static_cast<std::uint32_t>(aUpstream.mQueue.size()),
+                           aUpstream.mSpec.mSlots, 1 };
   At(mNow + (isLocal ? kLocalTrip : kRemoteTrip) / 2,
      [this, &aUpstream, aRequest, report] {
        if (std::exchange(aRequest->mIsOver, true)) {
--- a/packages/telemetry/Telemetry.h
+++ b/packages/telemetry/Telemetry.h
@@ -7,3 +7,5 @@
 #include "telemetry/src/TraceContext.h"
 
 #include "telemetry/src/SpanLog.h"
+
+#include "telemetry/src/BoundedLog.h"
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -32,4 +32,12 @@
     cmp "$it" "packages/protocol/generated/$(basename "$it")"
   done
 fi
+# The platform's words stay in platform/.
+words='[^-]request-id|[^t]-deadline-ms|expect-instance|response-signature'
+words+='|not-executed|stale_ok|cold_remaining_ms|traffic_split|max_attempts'
+if git grep -niE "$words" -- '*.cpp' '*.h' ':!platform/' ':!*/test/*' \
+  ':!tests/' ':!standins/' ':!*.pb.*'; then
+  echo "lint: words of the platform outside platform/"
+  exit 1
+fi
 echo "lint: clean"
