Let the hosts of a region share its upstreams' slots until reports come

Without a report each of seven hosts kept to a seventh of every upstream's slots, so that a region's two hosts left half of its slots idle in the first second and sent the rest away.

Change: at upstreams of their own region hosts divide the slots by the hosts of that region.

--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -195,8 +195,14 @@
 
 void EntryNode::Impl::OnViewChanged()
 {
-  mServices.mHosts = std::max<std::size_t>(mCluster.LiveHosts().size(), 1);
-  mServices.mPlacement.SetHostCount(mServices.mHosts);
+  const auto hosts = mCluster.LiveHosts();
+  const auto here = std::count_if(
+    hosts.begin(), hosts.end(), [this](const membership::HostView& aHost) {
+      return aHost.mHost.mRegion == mSettings.mRegion;
+    });
+  mServices.mHosts = std::max<std::size_t>(hosts.size(), 1);
+  mServices.mPlacement.SetHostCount(mServices.mHosts,
+                                    static_cast<std::size_t>(here));
 }
 
 void EntryNode::Impl::JoinOnce()
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -141,9 +141,10 @@
                                 : std::optional(it->second->mSpec.mService);
 }
 
-void Placement::SetHostCount(std::size_t aHosts)
+void Placement::SetHostCount(std::size_t aHosts, std::size_t aRegionHosts)
 {
   mHosts = std::max<std::size_t>(aHosts, 1);
+  mRegionHosts = std::max<std::size_t>(aRegionHosts, 1);
   for (const auto& [id, upstream] : mUpstreams) {
     upstream->mColdTokens.SetRate(ColdRate(upstream->mSpec));
   }
@@ -278,7 +279,8 @@
   candidate.mUpstream = &aUpstream;
   candidate.mWarmth = aWarmth;
   const base::Duration wait = gauge.Wait(aNow, aUpstream.mQueued);
-  candidate.mHasRoom = gauge.HasRoom(aNow, mHosts);
+  candidate.mHasRoom = gauge.HasRoom(
+    aNow, aUpstream.mSpec.mRegion == mRegion ? mRegionHosts : mHosts);
   candidate.mWork = Scale(work, gauge.Slowness(aNow));
   candidate.mExpected = Trip(aUpstream) + wait +
                         Scale(candidate.mWork, std::max(1.0, gauge.Pace()));
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -130,8 +130,11 @@
   /** Takes the services' limits on requests to cold upstreams. */
   void SetColdRates(
     const std::function<double(const base::ServiceId&)>& aRateOf);
-  /** Hosts that share the bounds of cold upstreams, this one included. */
-  void SetHostCount(std::size_t aHosts);
+  /**
+   * Hosts that share upstreams, this one included. Those of other regions send
+   * to this region's upstreams only when theirs are full.
+   */
+  void SetHostCount(std::size_t aHosts, std::size_t aRegionHosts);
   /** Takes a measured round trip to a data centre. */
   void OnTrip(const base::DataCentreId& aCentre, base::Duration aTrip);
 
@@ -216,6 +219,7 @@
   base::DataCentreId mHere;
   base::RegionId mRegion;
   std::size_t mHosts = 1;
+  std::size_t mRegionHosts = 1;
   std::set<base::DataCentreId> mEvacuated;
   std::unordered_map<base::DataCentreId, base::Duration> mTrips;
   std::unordered_map<base::UpstreamId, std::unique_ptr<Upstream>> mUpstreams;
--- a/packages/placing/test/PlacementTest.cpp
+++ b/packages/placing/test/PlacementTest.cpp
@@ -144,7 +144,7 @@
       UpstreamSpec spec = MakeSpec("cold", "here");
       spec.mSlots = base::SlotCount(100);
       spec.mColdRate = kRate;
-      placements.back().SetHostCount(hosts);
+      placements.back().SetHostCount(hosts, hosts);
       placements.back().Add(At(0), spec, std::chrono::seconds(10));
     }
     std::vector<int> sent;
--- a/packages/telemetry/test/BoundedLogTest.cpp
+++ b/packages/telemetry/test/BoundedLogTest.cpp
@@ -2,6 +2,7 @@
 
 #include "base/test/support/Property.h"
 
+#include <fcntl.h>
 #include <string>
 #include <unistd.h>
 
