--- a/apps/auburnmux/src/Session.cpp
+++ b/apps/auburnmux/src/Session.cpp
@@ -67,7 +67,7 @@
 }
 
 objects::GetResult Session::Get(const std::string& aName,
-                                 objects::CallPurpose aPurpose)
+                                objects::CallPurpose aPurpose)
 {
   return Wait<objects::GetResult>([&](const auto& aDone) {
     mPlatform.Get(aName, { aPurpose, kPlatformTimeout }, aDone);
@@ -75,8 +75,8 @@
 }
 
 objects::PutResult Session::Put(const std::string& aName,
-                                 const std::string& aBytes,
-                                 const objects::WriteCondition& aCondition)
+                                const std::string& aBytes,
+                                const objects::WriteCondition& aCondition)
 {
   return Wait<objects::PutResult>([&](const auto& aDone) {
     mPlatform.Put(aName, aBytes, aCondition,
@@ -140,7 +140,7 @@
 void Session::PauseAfterFailure(std::uint32_t aFailures)
 {
   objects::Backoff backoff(std::chrono::milliseconds(50),
-                            std::chrono::seconds(1));
+                           std::chrono::seconds(1));
   base::Duration delay{};
   for (std::uint32_t it = 0; it < aFailures; ++it) {
     delay = backoff.Next(mRandom);
--- a/apps/auburnmux/src/Session.h
+++ b/apps/auburnmux/src/Session.h
@@ -18,15 +18,14 @@
   Session(http::Loop& aLoop, const Options& aOptions);
 
   objects::GetResult Get(const std::string& aName,
-                          objects::CallPurpose aPurpose);
+                         objects::CallPurpose aPurpose);
   objects::PutResult Put(const std::string& aName, const std::string& aBytes,
-                          const objects::WriteCondition& aCondition);
+                         const objects::WriteCondition& aCondition);
   /** \returns the hosts to ask: the given ones, or those listed. */
   objects::HostsResult Hosts();
   /** Asks all hosts at once. \returns the answers in the hosts' order. */
   std::vector<http::FetchResult> AskHosts(
-    const std::vector<objects::ListedHost>& aHosts,
-    const std::string& aTarget);
+    const std::vector<objects::ListedHost>& aHosts, const std::string& aTarget);
   /** Serves the loop for a while. */
   void Pause(base::Duration aTime);
   /** Pauses for the backoff after the n-th failure in a row. */
--- a/packages/cluster/src/ClusterNode.cpp
+++ b/packages/cluster/src/ClusterNode.cpp
@@ -89,7 +89,7 @@
   , mTransport(aTransport)
   , mViewChanged(std::move(aViewChanged))
   , mVersionAnnounced(std::move(aVersionAnnounced))
-  , mMembership(mSettings, aLoop.Now(), std::move(aRandom))
+  , mMembership(mSettings, aLoop.Now(), aRandom)
 {
   mView = mMembership.View();
 }
