Read the bounded log's pipe without blocking in its test

Ruled out: the log itself; a debugger showed the test's own read. Measured: the group BoundedLog and test_placing pass.

--- a/packages/placing/test/PlayedDay.cpp
+++ b/packages/placing/test/PlayedDay.cpp
@@ -8,6 +8,7 @@
 
 constexpr base::Duration kLocalTrip = std::chrono::milliseconds(2);
 constexpr base::Duration kRemoteTrip = std::chrono::milliseconds(40);
+constexpr base::TimePoint kStart{ std::chrono::seconds(100) };
 constexpr base::Duration kRoundPeriod = std::chrono::milliseconds(10);
 
 base::RegionId RegionOf(int aRegion)
@@ -61,7 +62,7 @@
 PlayedDay::PlayedDay(const DaySettings& aSettings)
   : mSettings(aSettings)
   , mRandom(aSettings.mSeed)
-  , mNow(std::chrono::seconds(100))
+  , mNow(kStart)
   , mSeconds(static_cast<std::size_t>(
       std::chrono::duration_cast<std::chrono::seconds>(aSettings.mLength)
         .count()))
@@ -140,6 +141,14 @@
   return mSeconds;
 }
 
+SecondOfDay& PlayedDay::SecondOf(const Request& aRequest)
+{
+  const auto second = std::chrono::duration_cast<std::chrono::seconds>(
+    aRequest.mArrived - kStart);
+  return mSeconds[std::min(static_cast<std::size_t>(second.count()),
+                           mSeconds.size() - 1)];
+}
+
 void PlayedDay::Arrive(Host& aHost, int aRegion)
 {
   auto request = std::make_shared<Request>();
@@ -155,22 +164,12 @@
     request->mPlace.mObject =
       ObjectHash(base::Hash64(std::to_string(request->mObject)));
   }
-  const auto second = static_cast<std::size_t>(
-    std::chrono::duration_cast<std::chrono::seconds>(
-      mNow - base::TimePoint(std::chrono::seconds(100)))
-      .count());
-  ++mSeconds[std::min(second, mSeconds.size() - 1)].mAsked;
+  ++SecondOf(*request).mAsked;
   TryPlace(aHost, request);
 }
 
 void PlayedDay::TryPlace(Host& aHost, const std::shared_ptr<Request>& aRequest)
 {
-  const auto second = std::min(
-    static_cast<std::size_t>(
-      std::chrono::duration_cast<std::chrono::seconds>(
-        aRequest->mArrived - base::TimePoint(std::chrono::seconds(100)))
-        .count()),
-    mSeconds.size() - 1);
   const auto leave = [&] {
     if (aRequest->mIsWaiting) {
       aRequest->mIsWaiting = false;
@@ -211,7 +210,7 @@
       }
     });
   } else {
-    ++mSeconds[second].mRefused;
+    ++SecondOf(*aRequest).mRefused;
   }
 }
 
@@ -276,14 +275,9 @@
          mNow, aRequest->mPlace,
          { aUpstream.mSpec.mId, Outcome::Answered, aRequest->mPlaced.mWarmth,
            mNow - aRequest->mSent, aRequest->mPlaced.mExpectedWork, report });
-       const auto second = std::min(
-         static_cast<std::size_t>(
-           std::chrono::duration_cast<std::chrono::seconds>(
-             aRequest->mArrived - base::TimePoint(std::chrono::seconds(100)))
-             .count()),
-         mSeconds.size() - 1);
-       ++mSeconds[second].mServed;
-       mSeconds[second].mInTime +=
+       SecondOfDay& second = SecondOf(*aRequest);
+       ++second.mServed;
+       second.mInTime +=
          mNow - aRequest->mArrived <= mSettings.mLatencyTarget ? 1 : 0;
      });
   Begin(aUpstream);
--- a/packages/placing/test/support/PlayedDay.h
+++ b/packages/placing/test/support/PlayedDay.h
@@ -36,7 +36,7 @@
    * meanwhile comes at its end. */
   base::Duration mOutageAt{};
   base::Duration mOutageFor{};
-  /** Whether the placement is told of objects and late requests yield. */
+  /** Whether the placement is told which object a request is about. */
   bool mUsesObjects = true;
   /** Whether upstreams are handed every request at once. */
   bool mIsUnbounded = false;
@@ -68,6 +68,8 @@
   using Event = std::function<void()>;
 
   void At(base::TimePoint aTime, Event aEvent);
+  /** \returns the second in which the request arrived. */
+  SecondOfDay& SecondOf(const Request& aRequest);
   void Arrive(Host& aHost, int aRegion);
   void TryPlace(Host& aHost, const std::shared_ptr<Request>& aRequest);
   void Round(Host& aHost);
--- a/packages/telemetry/test/BoundedLogTest.cpp
+++ b/packages/telemetry/test/BoundedLogTest.cpp
@@ -15,7 +15,7 @@
 
   void setup() override
   {
-    CHECK_EQUAL(0, pipe(mPipe));
+    CHECK_EQUAL(0, pipe2(mPipe, O_NONBLOCK));
   }
   void teardown() override
   {
