--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -19,7 +19,7 @@
 done
 if ((${#units[@]} > 0)); then
   printf '%s\0' "${units[@]}" |
-    xargs -0 -n 1 -P "$(nproc)" clang-tidy -p build --quiet 2>/tmp/lint.$$ ||
+    xargs -0 -n 1 -P "$(nproc)" scripts/tidy.sh 2>/tmp/lint.$$ ||
     { grep -v 'warnings generated' /tmp/lint.$$ || true; rm -f /tmp/lint.$$; exit 1; }
   rm -f /tmp/lint.$$
 fi
