Stop poison requests and late work in stops, share bounds in cuts, resend stragglers

Change: StopPlan (no new requests after 0.45 of the grace; they are refused as not run), SharerCount (silent hosts keep their part for 5 minutes), ShiftLimiter::MayStay, CrashWatch and CrashGuard with reports between hosts, IdleTrust, StragglerPolicy, round trips from the time to connect.

--- a/packages/carriage/src/RequestLife.cpp
+++ b/packages/carriage/src/RequestLife.cpp
@@ -145,6 +145,21 @@
   mPhase = Streaming{};
 }
 
+bool RequestLife::MayReplaceAttempt() const
+{
+  return Is<Attempting>() && mTerms.mMayRepeat && !mIsReplaced &&
+         mRuns + 1 < mTerms.mMaxAttempts;
+}
+
+void RequestLife::OnAttemptReplaced()
+{
+  assert(MayReplaceAttempt());
+  mIsReplaced = true;
+  mMayHaveRun = true;
+  ++mRuns;
+  ++mAttempts;
+}
+
 LifeActions RequestLife::OnTimeUp()
 {
   if (Is<Ended>()) {
--- a/packages/carriage/src/RequestLife.h
+++ b/packages/carriage/src/RequestLife.h
@@ -54,6 +54,12 @@
   LifeActions OnAttemptFailed(bool aMayHaveReached);
   /** The head of a response that is too long to be kept is relayed. */
   void OnStreaming();
+  /** \returns whether the attempt under way may be given up for another one:
+   * the request may be repeated, and this happened to it at most once. */
+  bool MayReplaceAttempt() const;
+  /** Another attempt takes the place of the one under way.
+   * \pre MayReplaceAttempt() */
+  void OnAttemptReplaced();
   /** The request's time is up. */
   LifeActions OnTimeUp();
   LifeActions OnCallerGone();
@@ -93,6 +99,7 @@
   /** Attempts that no upstream ran: unreachable or rejected. */
   std::uint32_t mRejections = 0;
   bool mMayHaveRun = false;
+  bool mIsReplaced = false;
 };
 
 } // namespace auburnmux::carriage
--- a/packages/carriage/test/RequestLifeTest.cpp
+++ b/packages/carriage/test/RequestLifeTest.cpp
@@ -65,7 +65,7 @@
     const int steps = *rc::gen::inRange(1, 25);
     for (int i = 0; i < steps; ++i) {
       world.mHasResponse = false;
-      switch (*rc::gen::inRange(0, 9)) {
+      switch (*rc::gen::inRange(0, 10)) {
         case 0:
           world.Do(world.mLife.OnReadable());
           break;
@@ -104,7 +104,13 @@
             world.Do(world.mLife.OnAttemptFailed(mayHaveReached));
           }
           break;
-        case 7:
+        case 7: // another attempt takes the place of the one under way
+          if (world.mIsAttemptOpen && world.mLife.MayReplaceAttempt()) {
+            ++world.mRuns;
+            world.mLife.OnAttemptReplaced();
+          }
+          break;
+        case 8:
           world.mRuns += world.mIsAttemptOpen ? 1 : 0;
           world.Do(world.mLife.OnTimeUp());
           break;
@@ -138,6 +144,24 @@
   CHECK_FALSE(world.mIsRefused);
 }
 
+TEST(RequestLife, AttemptIsReplacedOnceAndOnlyIfItMayRepeat)
+{
+  RequestLife once({ false, 3 });
+  (void)once.OnReadable();
+  once.OnPlaced();
+  CHECK_FALSE(once.MayReplaceAttempt());
+  RequestLife life({ true, 3 });
+  (void)life.OnReadable();
+  CHECK_FALSE(life.MayReplaceAttempt());
+  life.OnPlaced();
+  CHECK_TRUE(life.MayReplaceAttempt());
+  life.OnAttemptReplaced();
+  CHECK_FALSE(life.MayReplaceAttempt());
+  CHECK_EQUAL(2U, life.Attempts());
+  const LifeActions actions = life.OnResponse({ false, false });
+  CHECK_TRUE(std::holds_alternative<Relay>(actions.at(0)));
+}
+
 TEST(RequestLife, RepeatAfterAnUnreachableUpstreamNeedsNoBudget)
 {
   RequestLife life({ true, 2 });
--- a/packages/cluster/src/ClusterNode.cpp
+++ b/packages/cluster/src/ClusterNode.cpp
@@ -133,6 +133,15 @@
   Execute(mMembership.SetConfigVersion(mLoop.Now(), aVersion));
 }
 
+void ClusterNode::Broadcast(const protocol::Envelope& aEnvelope)
+{
+  for (const membership::HostView& it : LiveHosts()) {
+    if (it.mHost.mId != mSettings.mSelf.mId) {
+      mTransport.Send(ToEndpoint(it.mHost.Peer()), aEnvelope);
+    }
+  }
+}
+
 void ClusterNode::Execute(const membership::Actions& aActions)
 {
   for (const membership::Action& it : aActions) {
--- a/packages/cluster/src/ClusterNode.h
+++ b/packages/cluster/src/ClusterNode.h
@@ -33,6 +33,8 @@
   void OnPlatformList(const std::vector<membership::Candidate>& aList);
   void StartLeaving();
   void SetConfigVersion(base::ConfigVersion aVersion);
+  /** Sends a message to all other live hosts. */
+  void Broadcast(const protocol::Envelope& aEnvelope);
 
   /** \returns all known hosts in id order, this host included. */
   const std::vector<membership::HostView>& View() const { return mView; }
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -227,33 +227,14 @@
                      .With("service", aService)
                      .With("fingerprint", aRecord.mFingerprint)
                      .With("upstreams", aRecord.mUpstreams.size()));
-  protocol::Envelope envelope;
-  auto& message = *envelope.mutable_crash_report();
-  message.set_request_hash(aRecord.mFingerprint.Count());
-  message.set_service(aService.Text());
-  for (const base::UpstreamId& it : aRecord.mUpstreams) {
-    message.add_upstreams(it.Text());
-  }
-  for (const membership::HostView& it : mCluster.LiveHosts()) {
-    if (it.mHost.mId != mSettings.mHost) {
-      const membership::PeerAddress peer = it.mHost.Peer();
-      mTransport.Send({ peer.mAddress, peer.mPort }, envelope);
-    }
-  }
+  mCluster.Broadcast(cluster::ToCrashReport(aService, aRecord));
 }
 
 void Daemon::Impl::OnCrashReport(const protocol::CrashReport& aMessage)
 {
-  constexpr int kMaxUpstreams = 16;
-  if (aMessage.upstreams_size() > kMaxUpstreams) {
-    return;
-  }
-  retries::CrashRecord record;
-  record.mFingerprint = retries::Fingerprint(aMessage.request_hash());
-  for (const std::string& it : aMessage.upstreams()) {
-    record.mUpstreams.emplace_back(it);
+  if (const auto record = cluster::FromWire(aMessage)) {
+    mQuarantine.Merge(mLoop.Now(), *record);
   }
-  mQuarantine.Merge(mLoop.Now(), record);
 }
 
 void Daemon::Impl::ReadHostList()
--- a/packages/entry/src/Carrier.cpp
+++ b/packages/entry/src/Carrier.cpp
@@ -17,15 +17,26 @@
 /** Bytes that may wait for a slow reader before the writer is paused. */
 constexpr base::ByteCount kMaxPending{ std::uint64_t{ 256 } << 10U };
 
-/** Idle time up to which a kept connection carries work that may not run
- * twice: upstreams close idle ones, and a close that crosses the request leaves
- * its outcome unknown. */
-constexpr base::Duration kOnceMaxIdle = std::chrono::milliseconds(2500);
-
 constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(800);
 
 constexpr int kFirstServerError = 500;
 
+/** Wait that is proposed to clients of a host that stops: other hosts are
+ * there at once. */
+constexpr base::Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
+
+/** Wait that is proposed for a request that crashes upstreams, as long as it
+ * is refused at least. */
+constexpr base::Duration kQuarantineRetryAfter = std::chrono::minutes(10);
+
+/** Pause before a straggler for which there is no room elsewhere is looked at
+ * again. */
+constexpr base::Duration kStragglerPause = std::chrono::milliseconds(50);
+
+/** Time after which a reset is taken for an answer to the first bytes, at most:
+ * a round trip between regions. */
+constexpr base::Duration kResetRoundTrip = std::chrono::milliseconds(100);
+
 std::string FormatSeconds(base::Duration aTime)
 {
   char buf[32];
@@ -98,6 +109,7 @@
 {
   --mServices.mOpenRequests;
   StopTimer();
+  StopWatch();
 }
 
 void Carrier::Start()
@@ -110,6 +122,10 @@
     Refuse(Reason::NoConfiguration, std::chrono::milliseconds(500));
     return;
   }
+  if (mServices.mIsClosing) {
+    Refuse(Reason::Stopping, kStoppingRetryAfter);
+    return;
+  }
   if (!mRoute) {
     DenyUnknownRoute();
     return;
@@ -120,6 +136,7 @@
   mLife.emplace(terms);
   mPlaceRequest.mService = mServices.mSplits.Next(*mRoute);
   mServices.Budget(mPlaceRequest.mService).OnRequest(mArrived);
+  mServices.mStragglers.OnRequest(mArrived);
   mOnTimeUntil = mArrived + mRoute->mLatencyTarget - TimeSpentBefore();
   StartTimer();
   if (mIsBodyComplete) {
@@ -216,10 +233,17 @@
     return;
   }
   if (aIsRepeat && !mServices.Budget(mPlaceRequest.mService)
-                      .TrySpend(now, mServices.mHosts)) {
+                      .TrySpend(now, mServices.mSharers)) {
     Execute(mLife->OnNoPlace(Reason::NoBudget, carriage::kRejectedRetryAfter));
     return;
   }
+  mFingerprint = retries::MakeFingerprint(
+    mPlaceRequest.mService, mExchange->Head().mMethod,
+    mExchange->Head().mPath + '?' + mExchange->Head().mQuery, mBody);
+  if (mServices.mCrashes.IsRefused(now, mFingerprint)) {
+    Execute(mLife->OnNoPlace(Reason::Quarantined, kQuarantineRetryAfter));
+    return;
+  }
   mPlaceRequest.mKind =
     mRoute->mId.Text() + ' ' + mPlaceRequest.mService.Text();
   mPlaceRequest.mLatencyTarget = mRoute->mLatencyTarget;
@@ -287,7 +311,10 @@
     request.mIsChunked = head.mIsChunked;
   }
   if (mRoute->mKind != routing::RequestKind::Idempotent) {
-    request.mMaxIdle = kOnceMaxIdle;
+    const auto trust = mServices.mIdleTrust.find(mPlaceRequest.mService);
+    request.mMaxIdle = trust == mServices.mIdleTrust.end()
+                         ? retries::IdleTrustSettings().mMost
+                         : trust->second.MaxIdle(mServices.mLoop.Now());
   }
   request.mConnectTimeout = kConnectTimeout;
   request.mIsOwnResponse = [translator = &mServices.mTranslator,
@@ -307,6 +334,73 @@
   if (mIsBodyComplete) {
     mAttempt->Exchange().EndBody();
   }
+  WatchForStraggling();
+}
+
+void Carrier::WatchForStraggling()
+{
+  StopWatch();
+  const auto limit = mServices.mStragglers.Limit(
+    mAttempt->Place().mExpected, mOnTimeUntil - mServices.mLoop.Now());
+  if (limit && mLife->MayReplaceAttempt()) {
+    mStragglerTimer = mServices.mLoop.After(*limit, [this] {
+      mStragglerTimer.reset();
+      const auto self = shared_from_this();
+      OnStraggling();
+    });
+  }
+}
+
+void Carrier::OnStraggling()
+{
+  const base::TimePoint now = mServices.mLoop.Now();
+  if (!mLife->MayReplaceAttempt() || mAttempt->HasHead() ||
+      mServices.mCrashes.IsRefused(now, mFingerprint)) {
+    return;
+  }
+  // The upstream that has the object at hand may be tried again: stragglers
+  // are a matter of chance.
+  placing::PlaceRequest request = mPlaceRequest;
+  request.mTried.pop_back();
+  request.mStraggling = mAttempt->Place().mUpstream;
+  request.mTimeLeft = TimeLeft();
+  const placing::PlaceDecision decision =
+    mServices.mPlacement.Place(now, request);
+  const auto* place = std::get_if<placing::Placed>(&decision);
+  if (place == nullptr) {
+    mStragglerTimer = mServices.mLoop.After(kStragglerPause, [this] {
+      mStragglerTimer.reset();
+      const auto self = shared_from_this();
+      OnStraggling();
+    });
+    return;
+  }
+  const bool isAllowed =
+    mServices.mStragglers.TrySpend(now) &&
+    mServices.Budget(mPlaceRequest.mService).TrySpend(now, mServices.mSharers);
+  if (!isAllowed) {
+    mServices.mPlacement.OnResult(now, request,
+                                  { place->mUpstream, Outcome::Abandoned });
+    return;
+  }
+  base::LogInfo(
+    base::LogLine("straggler")
+      .With("id", mFacts.mId)
+      .With("upstream", mAttempt->Place().mUpstream)
+      .With("expected_ms", Milliseconds(mAttempt->Place().mExpected))
+      .With("ms", Milliseconds(mAttempt->Elapsed()))
+      .With("to", place->mUpstream));
+  EndAttempt(Outcome::Overtaken);
+  mAttempt->Cancel();
+  mLife->OnAttemptReplaced();
+  Send(*place);
+}
+
+void Carrier::StopWatch()
+{
+  if (mStragglerTimer) {
+    mServices.mLoop.Cancel(*std::exchange(mStragglerTimer, std::nullopt));
+  }
 }
 
 void Carrier::EndAttempt(Outcome aOutcome)
@@ -319,8 +413,16 @@
   result.mOutcome = aOutcome;
   result.mWarmth = mAttempt->Place().mWarmth;
   result.mExpectedWork = mAttempt->Place().mExpectedWork;
-  if (mAttempt->HasHead()) {
+  StopWatch();
+  if (aOutcome == Outcome::Overtaken || aOutcome == Outcome::Answered) {
     result.mElapsed = mAttempt->Elapsed();
+    mServices.mStragglers.OnEnded(mAttempt->Place().mExpected,
+                                  mAttempt->Elapsed());
+  }
+  if (const auto trip = mAttempt->Exchange().ConnectTime()) {
+    mServices.mPlacement.OnTrip(mAttempt->Place().mUpstream, *trip);
+  }
+  if (mAttempt->HasHead()) {
     result.mReport = mServices.mTranslator.ReadResponse(mAttempt->Head()).mLoad;
   }
   mServices.mPlacement.OnResult(mServices.mLoop.Now(), mPlaceRequest, result);
@@ -341,6 +443,7 @@
     EndAttempt(Outcome::Rejected);
   } else {
     EndAttempt(meaning.mIsFailure ? Outcome::Failed : Outcome::Answered);
+    mServices.mCrashes.OnSuccess(mServices.mLoop.Now(), mFingerprint);
   }
   const carriage::LifeActions actions = mLife->OnResponse(meaning);
   if (actions.empty()) { // the end of a streamed response
@@ -393,10 +496,34 @@
   const bool isUnreachable =
     aFailure.mKind == http::FailureKind::ConnectRefused ||
     aFailure.mKind == http::FailureKind::ConnectTimeout;
+  WatchForCrash(aFailure);
   EndAttempt(isUnreachable ? Outcome::Unreachable : Outcome::Failed);
   Execute(mLife->OnAttemptFailed(aFailure.mMayHaveReached));
 }
 
+void Carrier::WatchForCrash(const http::Failure& aFailure)
+{
+  const base::TimePoint now = mServices.mLoop.Now();
+  const base::UpstreamId& upstream = mAttempt->Place().mUpstream;
+  if (aFailure.mKind == http::FailureKind::ConnectRefused) {
+    for (const retries::CrashRecord& it :
+         mServices.mCrashes.OnRefusedConnection(now, upstream)) {
+      base::LogWarning(base::LogLine("upstream_crash")
+                         .With("upstream", upstream)
+                         .With("fingerprint", it.mFingerprint)
+                         .With("crashes", it.mUpstreams.size()));
+      mServices.mReportCrash(mPlaceRequest.mService, it);
+    }
+  } else if (aFailure.mKind == http::FailureKind::Reset &&
+             aFailure.mMayHaveReached) {
+    mServices.mCrashes.OnBroken(now, upstream, mFingerprint);
+    if (aFailure.mIdleBefore) {
+      mServices.mIdleTrust[mPlaceRequest.mService].OnReset(
+        now, *aFailure.mIdleBefore, mAttempt->Elapsed(), kResetRoundTrip);
+    }
+  }
+}
+
 void Carrier::CancelAttempt()
 {
   EndAttempt(Outcome::Abandoned);
--- a/packages/entry/src/Carrier.h
+++ b/packages/entry/src/Carrier.h
@@ -62,11 +62,16 @@
   base::Duration TimeLeft() const;
   void EndAttempt(placing::Outcome aOutcome);
   void Relay();
-  void RelayKept();
   void SendFailure(carriage::Reason aReason);
   void CancelAttempt();
+  /** Learns from a failure whether the upstream has crashed. */
+  void WatchForCrash(const http::Failure& aFailure);
+  void WatchForStraggling();
+  /** Sends the request anew if its attempt takes too long. */
+  void OnStraggling();
   void LogEnd(std::string_view aOutcome, int aStatus);
   void StopTimer();
+  void StopWatch();
 
   Services& mServices;
   std::shared_ptr<http::ServerExchange> mExchange;
@@ -75,6 +80,10 @@
   placing::PlaceRequest mPlaceRequest;
   std::optional<carriage::RequestLife> mLife;
   std::optional<http::Loop::TimerId> mTimer;
+  /** Set while the attempt may turn out to be a straggler. */
+  std::optional<http::Loop::TimerId> mStragglerTimer;
+  /** Names requests that are the same but for their ids. */
+  retries::Fingerprint mFingerprint;
   /** Set while the request waits for room. */
   std::optional<admission::Ticket> mTicket;
   base::Duration mWaited{};
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -5,6 +5,7 @@
 #include "entry/src/Directory.h"
 #include "entry/src/HealthChecks.h"
 #include "entry/src/Services.h"
+#include "entry/src/StopPlan.h"
 #include "peer/Peer.h"
 #include "upstreams/Upstreams.h"
 
@@ -19,12 +20,8 @@
 /** How often due checks, lapsed upstreams and the stop are looked at. */
 constexpr base::Duration kTick = std::chrono::milliseconds(100);
 
-/** Part of the stop grace after which idle connections are closed and no new
- * ones are taken: clients have learned of other hosts by then. */
-constexpr double kQuietAfter = 0.6;
-
-/** Time before the end of the stop grace at which what is left is cut. */
-constexpr base::Duration kStopMargin = std::chrono::milliseconds(300);
+/** How often the hosts that share bounds are counted anew. */
+constexpr base::Duration kCountPeriod = std::chrono::seconds(1);
 
 http::ClientOptions UpstreamConnections(const EntrySettings& aSettings)
 {
@@ -73,7 +70,9 @@
 
   void OnTick();
   void OnRequest(const std::shared_ptr<http::ServerExchange>& aExchange);
+  void OnMessage(const protocol::Envelope& aEnvelope);
   void OnViewChanged();
+  void CountHosts();
   void Apply(const upstreams::UpstreamEvents& aEvents);
   void JoinOnce();
   base::Duration LongestColdTime() const;
@@ -92,7 +91,9 @@
   peer::Transport mTransport;
   cluster::ClusterNode mCluster;
   http::Server mFront;
+  membership::SharerCount mSharers;
   http::Loop::TimerId mTick;
+  http::Loop::TimerId mCountTimer;
   bool mHasJoined = false;
   bool mHasUpstreams = false;
   std::optional<base::TimePoint> mStopBegin;
@@ -174,7 +175,7 @@
   , mTransport(
       aLoop,
       { mSettings.mHost, base::Incarnation(1), mSettings.mPeer, std::nullopt },
-      [this](const protocol::Envelope& aIt) { mCluster.OnMessage(aIt); })
+      [this](const protocol::Envelope& aIt) { OnMessage(aIt); })
   , mCluster(
       aLoop, mMetrics, base::Random(mRandom.Next()), MakeMembership(mSettings),
       mTransport, [this] { OnViewChanged(); },
@@ -185,6 +186,14 @@
            })
 {
   mTick = mLoop.Every(kTick, [this] { OnTick(); });
+  mCountTimer = mLoop.Every(kCountPeriod, [this] {
+    CountHosts();
+    mServices.mCrashes.OnTick(mLoop.Now());
+  });
+  mServices.mReportCrash = [this](const base::ServiceId& aService,
+                                  const retries::CrashRecord& aRecord) {
+    mCluster.Broadcast(cluster::ToCrashReport(aService, aRecord));
+  };
 }
 
 void EntryNode::Impl::OnRequest(
@@ -193,16 +202,35 @@
   std::make_shared<Carrier>(mServices, aExchange)->Start();
 }
 
+void EntryNode::Impl::OnMessage(const protocol::Envelope& aEnvelope)
+{
+  if (!aEnvelope.has_crash_report()) {
+    mCluster.OnMessage(aEnvelope);
+    return;
+  }
+  if (const auto record = cluster::FromWire(aEnvelope.crash_report())) {
+    mServices.mCrashes.Merge(mLoop.Now(), *record);
+  }
+}
+
 void EntryNode::Impl::OnViewChanged()
+{
+  mSharers.OnView(mLoop.Now(), mCluster.View());
+  CountHosts();
+}
+
+void EntryNode::Impl::CountHosts()
 {
   const auto hosts = mCluster.LiveHosts();
   const auto here = std::count_if(
     hosts.begin(), hosts.end(), [this](const membership::HostView& aHost) {
       return aHost.mHost.mRegion == mSettings.mRegion;
     });
-  mServices.mHosts = std::max<std::size_t>(hosts.size(), 1);
-  mServices.mPlacement.SetHostCount(mServices.mHosts,
-                                    static_cast<std::size_t>(here));
+  mServices.mSharers = mSharers.Count(mLoop.Now());
+  mServices.mPlacement.SetHostCounts(
+    { std::max<std::size_t>(hosts.size(), 1),
+      std::max<std::size_t>(static_cast<std::size_t>(here), 1),
+      mServices.mSharers });
 }
 
 void EntryNode::Impl::JoinOnce()
@@ -223,15 +251,14 @@
   if (!mStopBegin) {
     return;
   }
+  const StopPlan plan(mSettings.mStopGrace);
   const base::Duration elapsed = mLoop.Now() - *mStopBegin;
-  const auto quiet = std::chrono::duration_cast<base::Duration>(
-    mSettings.mStopGrace * kQuietAfter);
-  if (elapsed >= quiet) {
+  if (plan.IsQuiet(elapsed)) {
+    mServices.mIsClosing = true;
     mFront.StopListening();
     mFront.CloseIdle();
   }
-  const bool isOver = elapsed >= mSettings.mStopGrace - kStopMargin;
-  if (isOver || (elapsed >= quiet && !IsWorkLeft())) {
+  if (plan.IsOver(elapsed, IsWorkLeft())) {
     mStopBegin.reset();
     mStopped();
   }
@@ -267,6 +294,7 @@
 EntryNode::~EntryNode()
 {
   mImpl->mLoop.Cancel(mImpl->mTick);
+  mImpl->mLoop.Cancel(mImpl->mCountTimer);
 }
 
 bool EntryNode::IsReady() const
--- a/packages/entry/src/Services.h
+++ b/packages/entry/src/Services.h
@@ -7,15 +7,20 @@
 #include "entry/src/Translator.h"
 #include "http/Http.h"
 #include "placing/Placing.h"
+#include "retries/Retries.h"
 #include "routing/Routing.h"
 #include "telemetry/Telemetry.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <unordered_map>
 
 namespace auburnmux::entry {
 
+/** Upstreams that a request may crash before it is refused everywhere. */
+constexpr std::uint32_t kCrashes = 3;
+
 /** What the requests of one host share. It outlives them. */
 struct Services
 {
@@ -32,8 +37,18 @@
   std::map<base::ServiceId, carriage::WindowBudget> mBudgets{};
   /** Longest time that a client's request came with, by route. */
   std::unordered_map<routing::RouteId, base::Duration> mLongestTime{};
+  /** Requests that may no longer be sent anywhere. */
+  retries::CrashGuard mCrashes{ retries::QuarantineSettings{ kCrashes } };
+  retries::StragglerPolicy mStragglers{};
+  /** How long kept connections are trusted, by service. */
+  std::unordered_map<base::ServiceId, retries::IdleTrust> mIdleTrust{};
+  /** Tells the other hosts of a request that crashes upstreams. */
+  std::function<void(const base::ServiceId&, const retries::CrashRecord&)>
+    mReportCrash{};
   /** Hosts that share bounds, this one included. */
-  std::size_t mHosts = 1;
+  std::size_t mSharers = 1;
+  /** Whether this host is stopping and takes no more requests. */
+  bool mIsClosing = false;
   /** Whether this host was told to stop. */
   bool mIsStopping = false;
   std::size_t mOpenRequests = 0;
--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -30,6 +30,9 @@
   FailureKind mKind = FailureKind::Reset;
   /** Whether any byte of the request may have reached the other side. */
   bool mMayHaveReached = false;
+  /** How long the connection had been idle before the request; unset for a
+   * new one. */
+  std::optional<base::Duration> mIdleBefore;
 };
 
 /** Receives the events of one exchange of a Client. */
@@ -54,6 +57,9 @@
   virtual ~ClientExchange() = default;
   /** \returns whether any byte may have reached the other side. */
   virtual bool MayHaveReached() const = 0;
+  /** \returns the time to connect; unset on a kept connection, and until the
+   * new one is open. */
+  virtual std::optional<base::Duration> ConnectTime() const = 0;
   /** \returns bytes given to SendBody() and not yet handed to the socket. */
   virtual base::ByteCount PendingBytes() const = 0;
   /** Sends a part of the body. \pre the request has a body */
--- a/packages/http/src/ClientConnection.cpp
+++ b/packages/http/src/ClientConnection.cpp
@@ -115,7 +115,7 @@
 {
   mLink.reset();
   if (const auto observer = std::exchange(mObserver, nullptr)) {
-    observer->OnFailure({ aKind, mMayHaveReached });
+    observer->OnFailure({ aKind, mMayHaveReached, mIdleBefore });
   }
 }
 
--- a/packages/http/src/ClientConnection.h
+++ b/packages/http/src/ClientConnection.h
@@ -22,6 +22,10 @@
                    std::shared_ptr<ResponseObserver> aObserver);
 
   bool MayHaveReached() const override { return mMayHaveReached; }
+  std::optional<base::Duration> ConnectTime() const override
+  {
+    return mConnectTime;
+  }
   base::ByteCount PendingBytes() const override;
   void SendBody(std::string_view aPart) override;
   void EndBody() override;
@@ -34,6 +38,9 @@
   bool IsRequestComplete() const { return mIsRequestComplete; }
 
   void Attach(std::shared_ptr<ClientLink> aLink);
+  /** The request goes on a connection that was idle for \a aIdle. */
+  void HandleReused(base::Duration aIdle) { mIdleBefore = aIdle; }
+  void HandleConnected(base::Duration aTime) { mConnectTime = aTime; }
   void HandleSent() { mMayHaveReached = true; }
   void HandleHead(const ResponseHead& aHead);
   void HandleBody(std::string_view aPart);
@@ -48,6 +55,8 @@
   ClientRequest mRequest;
   std::shared_ptr<ResponseObserver> mObserver;
   std::shared_ptr<ClientLink> mLink;
+  std::optional<base::Duration> mConnectTime;
+  std::optional<base::Duration> mIdleBefore;
   std::uint64_t mUnsentBody = 0;
   bool mIsRequestComplete = false;
   bool mMayHaveReached = false;
@@ -122,6 +131,7 @@
   std::unique_ptr<ResponseReader> mReader;
   std::string mIn;
   std::size_t mInStart = 0;
+  base::TimePoint mConnectBegin;
   base::TimePoint mIdleSince;
   base::Duration mIdleLimit;
   bool mIsConnected = false;
--- a/packages/http/src/ClientLink.cpp
+++ b/packages/http/src/ClientLink.cpp
@@ -73,6 +73,7 @@
   if (!mStream.Connect(mEndpoint, mOptions.mSource, limits)) {
     return false;
   }
+  mConnectBegin = mLoop.Now();
   mConnectTimer = mLoop.After(aTimeout, [this] {
     mConnectTimer.reset();
     Fail(FailureKind::ConnectTimeout);
@@ -97,6 +98,7 @@
   mStream.MarkUnsent();
   mStream.Queue(WriteHead(aExchange->Request()));
   if (mIsConnected) {
+    mExchange->HandleReused(mLoop.Now() - mIdleSince);
     FlushSoon();
   }
 }
@@ -151,6 +153,9 @@
   }
   StopConnectTimer();
   mIsConnected = true;
+  if (mExchange) {
+    mExchange->HandleConnected(mLoop.Now() - mConnectBegin);
+  }
   FlushNow();
 }
 
--- a/packages/membership/Membership.h
+++ b/packages/membership/Membership.h
@@ -7,3 +7,5 @@
 #include "membership/src/Settings.h"
 
 #include "membership/src/Membership.h"
+
+#include "membership/src/SharerCount.h"
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/** Weight of one measured round trip. */
-constexpr double kTripWeight = 0.2;
+/** Weight of a measured round trip that is longer than the ones before. */
+constexpr double kTripWeight = 0.05;
 
 /** Retry-After when no estimate of the wait exists. */
 constexpr base::Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
@@ -40,7 +40,8 @@
 
 double Placement::ColdRate(const UpstreamSpec& aSpec) const
 {
-  return aSpec.mColdRate * mSettings.mColdShare / static_cast<double>(mHosts);
+  return aSpec.mColdRate * mSettings.mColdShare /
+         static_cast<double>(std::max<std::size_t>(mHosts.mSharers, 1));
 }
 
 void Placement::Add(base::TimePoint aNow, const UpstreamSpec& aSpec,
@@ -141,20 +142,26 @@
                                 : std::optional(it->second->mSpec.mService);
 }
 
-void Placement::SetHostCount(std::size_t aHosts, std::size_t aRegionHosts)
+void Placement::SetHostCounts(const HostCounts& aCounts)
 {
-  mHosts = std::max<std::size_t>(aHosts, 1);
-  mRegionHosts = std::max<std::size_t>(aRegionHosts, 1);
+  mHosts = aCounts;
   for (const auto& [id, upstream] : mUpstreams) {
     upstream->mColdTokens.SetRate(ColdRate(upstream->mSpec));
   }
 }
 
-void Placement::OnTrip(const base::DataCentreId& aCentre, base::Duration aTrip)
+void Placement::OnTrip(const base::UpstreamId& aUpstream, base::Duration aTrip)
 {
-  const auto [it, isNew] = mTrips.try_emplace(aCentre, aTrip);
+  const Upstream* upstream = Find(aUpstream);
+  if (upstream == nullptr) {
+    return;
+  }
+  const auto [it, isNew] =
+    mTrips.try_emplace(upstream->mSpec.mDataCentre, aTrip);
   if (!isNew) {
-    it->second += Scale(aTrip - it->second, kTripWeight);
+    // A busy host or upstream only adds to the time.
+    it->second += aTrip < it->second ? aTrip - it->second
+                                     : Scale(aTrip - it->second, kTripWeight);
   }
 }
 
@@ -280,7 +287,7 @@
   candidate.mWarmth = aWarmth;
   const base::Duration wait = gauge.Wait(aNow, aUpstream.mQueued);
   candidate.mHasRoom = gauge.HasRoom(
-    aNow, aUpstream.mSpec.mRegion == mRegion ? mRegionHosts : mHosts);
+    aNow, aUpstream.mSpec.mRegion == mRegion ? mHosts.mRegion : mHosts.mLive);
   candidate.mWork = Scale(work, gauge.Slowness(aNow));
   candidate.mExpected = Trip(aUpstream) + wait +
                         Scale(candidate.mWork, std::max(1.0, gauge.Pace()));
@@ -322,8 +329,9 @@
     aRequest.mObject ? Homes(aService.mUpstreams, aRequest) : Group();
   const double usual = aService.mFailures.Share(aNow);
   const bool mayLeave = mShift.MayLeave(aNow);
+  const bool mayStay = mShift.MayStay(aNow);
   Candidate best;
-  Candidate bestElsewhere;
+  Candidate otherwise;
   for (Upstream* it : aService.mUpstreams) {
     if (!IsUsable(aNow, *it, aRequest)) {
       continue;
@@ -333,13 +341,19 @@
     if (aRequest.mObject) {
       candidate.mCost += Scale(aRequest.mLatencyTarget, StrayTargets(warmth));
     }
-    const bool isHere = mayLeave || it->mSpec.mRegion == mRegion;
-    Candidate& group = isHere ? best : bestElsewhere;
+    if (aRequest.mStraggling == it->mSpec.mId) {
+      candidate.mCost +=
+        Scale(aRequest.mLatencyTarget, mSettings.mStragglingTargets);
+    }
+    const bool isFree = it->mSpec.mRegion == mRegion
+                          ? mayStay
+                          : mayLeave && (mayStay || candidate.mHasRoom);
+    Candidate& group = isFree ? best : otherwise;
     if (candidate.mCost < group.mCost) {
       group = candidate;
     }
   }
-  return best.mUpstream != nullptr ? best : bestElsewhere;
+  return best.mUpstream != nullptr ? best : otherwise;
 }
 
 PlaceDecision Placement::Place(base::TimePoint aNow,
@@ -387,9 +401,12 @@
     return; // its process was replaced
   }
   std::optional<base::Duration> work;
-  if (aResult.mElapsed && aResult.mOutcome == Outcome::Answered) {
+  if (aResult.mElapsed && (aResult.mOutcome == Outcome::Answered ||
+                           aResult.mOutcome == Outcome::Overtaken)) {
     work = std::max(*aResult.mElapsed - Trip(*upstream),
                     base::Duration(std::chrono::milliseconds(1)));
+  }
+  if (work && aResult.mOutcome == Outcome::Answered) {
     mWork.Learn(aRequest.mKind, aResult.mWarmth, *work,
                 aRequest.mLatencyTarget);
   }
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -49,6 +49,9 @@
   std::vector<base::RegionId> mAllowedRegions;
   /** Upstreams that were tried already. */
   std::vector<base::UpstreamId> mTried;
+  /** Where an attempt takes too long; another upstream that has the object at
+   * hand is better, as this one may be slow for the moment. */
+  std::optional<base::UpstreamId> mStraggling;
 };
 
 /** The upstream that serves the request best. */
@@ -85,13 +88,27 @@
 
 using PlaceDecision = std::variant<Placed, Wait, NoRoom, NoUpstream>;
 
+/** Hosts that send to the same upstreams, this one included. */
+struct HostCounts
+{
+  /** Live hosts of all regions. */
+  std::size_t mLive = 1;
+  /** Live hosts of this host's region. Those of other regions send to its
+   * upstreams only when theirs are full. */
+  std::size_t mRegion = 1;
+  /** Hosts that may be using their part of a shared bound, be they live or
+   * only cut off. */
+  std::size_t mSharers = 1;
+};
+
 /** How a request ended at its upstream. */
 struct PlacedResult
 {
   base::UpstreamId mUpstream;
   Outcome mOutcome = Outcome::Abandoned;
   Warmth mWarmth = Warmth::None;
-  /** From sending to the response; unset without a response. */
+  /** From sending to the response, or until it was overtaken; unset without
+   * either. */
   std::optional<base::Duration> mElapsed;
   /** Work that was expected, see Placed. */
   base::Duration mExpectedWork{};
@@ -130,13 +147,10 @@
   /** Takes the services' limits on requests to cold upstreams. */
   void SetColdRates(
     const std::function<double(const base::ServiceId&)>& aRateOf);
-  /**
-   * Hosts that share upstreams, this one included. Those of other regions send
-   * to this region's upstreams only when theirs are full.
-   */
-  void SetHostCount(std::size_t aHosts, std::size_t aRegionHosts);
-  /** Takes a measured round trip to a data centre. */
-  void OnTrip(const base::DataCentreId& aCentre, base::Duration aTrip);
+  /** Takes how many hosts there are. */
+  void SetHostCounts(const HostCounts& aCounts);
+  /** Takes a measured round trip to the upstream's data centre. */
+  void OnTrip(const base::UpstreamId& aUpstream, base::Duration aTrip);
 
   /**
    * Forgets which requests wait. To be called before all waiting requests are
@@ -218,8 +232,7 @@
   PlacingSettings mSettings;
   base::DataCentreId mHere;
   base::RegionId mRegion;
-  std::size_t mHosts = 1;
-  std::size_t mRegionHosts = 1;
+  HostCounts mHosts;
   std::set<base::DataCentreId> mEvacuated;
   std::unordered_map<base::DataCentreId, base::Duration> mTrips;
   std::unordered_map<base::UpstreamId, std::unique_ptr<Upstream>> mUpstreams;
--- a/packages/placing/src/PlacingSettings.h
+++ b/packages/placing/src/PlacingSettings.h
@@ -40,6 +40,11 @@
    * first one is full. */
   double mSpareTargets = 0.3;
 
+  /** Delay that trying a straggling request at the same upstream counts for, as
+   * a multiple of the latency target: less than the work is longer elsewhere
+   * without the object, more than where it is at hand. */
+  double mStragglingTargets = 0.5;
+
   /** Delay that a certain failure counts for, as a multiple of the latency
    * target: a failed request is repeated or lost. */
   double mFailureTargets = 4;
--- a/packages/placing/src/ShiftLimiter.cpp
+++ b/packages/placing/src/ShiftLimiter.cpp
@@ -24,28 +24,48 @@
 {
 }
 
-bool ShiftLimiter::MayLeave(base::TimePoint aNow) const
+std::optional<ShiftLimiter::Windows> ShiftLimiter::LimitingWindows(
+  base::TimePoint aNow) const
 {
   if (mChangedAt && aNow - *mChangedAt < kLift) {
-    return true;
+    return std::nullopt;
   }
-  Slice last;
-  Slice before;
+  Windows windows;
   for (const Slice& it : mSlices) {
     const base::Duration age = aNow - it.mStart;
     if (age < 2 * kWindow) {
-      Slice& window = age < kWindow ? last : before;
+      Slice& window = age < kWindow ? windows.mLast : windows.mBefore;
       window.mAll += it.mAll;
       window.mLeft += it.mLeft;
     }
   }
-  if (last.mAll < kFewRequests || before.mAll < kFewRequests) {
+  const bool isFew =
+    windows.mLast.mAll < kFewRequests || windows.mBefore.mAll < kFewRequests;
+  return isFew ? std::nullopt : std::optional(windows);
+}
+
+bool ShiftLimiter::MayLeave(base::TimePoint aNow) const
+{
+  const auto windows = LimitingWindows(aNow);
+  if (!windows) {
     return true;
   }
+  const auto& [last, before] = *windows;
   const double share = (last.mLeft + 1) / (last.mAll + 1);
   return share <= before.mLeft / before.mAll + kUsedShare * mMaxShift;
 }
 
+bool ShiftLimiter::MayStay(base::TimePoint aNow) const
+{
+  const auto windows = LimitingWindows(aNow);
+  if (!windows) {
+    return true;
+  }
+  const auto& [last, before] = *windows;
+  const double share = last.mLeft / (last.mAll + 1);
+  return share >= before.mLeft / before.mAll - kUsedShare * mMaxShift;
+}
+
 void ShiftLimiter::OnPlaced(base::TimePoint aNow, bool aIsOtherRegion)
 {
   if (mSlices.empty() || aNow - mSlices.back().mStart >= kSlice) {
--- a/packages/placing/src/ShiftLimiter.h
+++ b/packages/placing/src/ShiftLimiter.h
@@ -8,10 +8,10 @@
 namespace auburnmux::placing {
 
 /**
- * Keeps the share of requests that go to other regions from rising faster than
- * the cap on shifts allows, while nothing but the clients' traffic changes. A
- * change of the upstreams themselves lifts the limit, as work has to follow
- * the capacity.
+ * Keeps the share of requests that go to other regions from rising or falling
+ * faster than the cap on shifts allows, while nothing but the clients' traffic
+ * changes. A change of the upstreams themselves lifts the limit, as work has
+ * to follow the capacity.
  */
 class ShiftLimiter
 {
@@ -25,6 +25,9 @@
   void OnCapacityChanged(base::TimePoint aNow) { mChangedAt = aNow; }
   /** \returns whether another request may go to another region. */
   bool MayLeave(base::TimePoint aNow) const;
+  /** \returns whether another request may stay in this region: the share that
+   * leaves would not fall too fast. */
+  bool MayStay(base::TimePoint aNow) const;
   void OnPlaced(base::TimePoint aNow, bool aIsOtherRegion);
 
 private:
@@ -35,6 +38,16 @@
     double mLeft = 0;
   };
 
+  /** The last window and the one before it. */
+  struct Windows
+  {
+    Slice mLast;
+    Slice mBefore;
+  };
+
+  /** \returns the windows; none while no limit applies. */
+  std::optional<Windows> LimitingWindows(base::TimePoint aNow) const;
+
   double mMaxShift;
   std::optional<base::TimePoint> mChangedAt;
   std::deque<Slice> mSlices;
--- a/packages/placing/src/UpstreamGauge.cpp
+++ b/packages/placing/src/UpstreamGauge.cpp
@@ -44,6 +44,7 @@
     case Outcome::TimedOut:
       return 1;
     case Outcome::Abandoned:
+    case Outcome::Overtaken:
       return std::nullopt;
   }
   return std::nullopt;
@@ -111,8 +112,9 @@
 
 void UpstreamGauge::HearOf(base::TimePoint aNow, Outcome aOutcome)
 {
-  const bool isHeard =
-    aOutcome != Outcome::Abandoned && aOutcome != Outcome::TimedOut;
+  const bool isHeard = aOutcome != Outcome::Abandoned &&
+                       aOutcome != Outcome::Overtaken &&
+                       aOutcome != Outcome::TimedOut;
   if (isHeard) {
     mSilentTimeouts = 0;
   } else if (aOutcome == Outcome::TimedOut) {
--- a/packages/placing/src/UpstreamGauge.h
+++ b/packages/placing/src/UpstreamGauge.h
@@ -23,7 +23,9 @@
   /** No response came before the request's time was up. */
   TimedOut,
   /** The host gave the request up; that says little of the upstream. */
-  Abandoned
+  Abandoned,
+  /** The host sent the request elsewhere as it took too long. */
+  Overtaken
 };
 
 /** \returns how much of a failure the outcome is, 0 to 1; none when it says
--- a/packages/placing/test/PlacementTest.cpp
+++ b/packages/placing/test/PlacementTest.cpp
@@ -144,7 +144,7 @@
       UpstreamSpec spec = MakeSpec("cold", "here");
       spec.mSlots = base::SlotCount(100);
       spec.mColdRate = kRate;
-      placements.back().SetHostCount(hosts, hosts);
+      placements.back().SetHostCounts({ hosts, hosts, hosts });
       placements.back().Add(At(0), spec, std::chrono::seconds(10));
     }
     std::vector<int> sent;
@@ -224,6 +224,55 @@
   CHECK_TRUE(share(18000) > 0.3);
 }
 
+// The same rule the other way round: work that comes home all at once changes
+// its region as much as work that leaves.
+TEST(Placement, ShareOfOtherRegionsFallsSlowly)
+{
+  ShiftLimiter limiter(0.15);
+  constexpr int kStep = 5;
+  std::vector<bool> left;
+  for (int now = 0; now < 20000; now += kStep) {
+    const bool wants = now <= 6000; // then there is room at home for all
+    const bool leaves = wants || !limiter.MayStay(At(now));
+    limiter.OnPlaced(At(now), leaves);
+    left.push_back(leaves);
+  }
+  const auto share = [&](int aFrom) {
+    const auto begin = left.begin() + aFrom / kStep;
+    return std::count(begin, begin + 2000 / kStep, true) * kStep / 2000.0;
+  };
+  for (int from = 4000; from <= 16000; from += 250) {
+    CHECK_TRUE(share(from) - share(from + 2000) <= 0.15);
+  }
+  CHECK_TRUE(share(18000) < 0.6);
+}
+
+// Requests go on to another region with room while they may not all come home
+// at once, and stay at home when there is no room elsewhere.
+TEST(Placement, WorkComesHomeSlowlyButNeverWaitsForIt)
+{
+  AddUpstreams(4, 4);
+  PlaceRequest away = MakeRequest(1);
+  away.mAllowedRegions = { base::RegionId("there") };
+  const auto play = [&](int aFrom, int aTo, const auto& aMake) {
+    int local = 0;
+    for (int now = aFrom; now < aTo; now += 10) {
+      const PlaceRequest request = aMake(now);
+      const auto place = Place(At(now), request);
+      CHECK_TRUE(place.has_value());
+      local += place->Text().find("here") == 0 ? 1 : 0;
+      Answer(At(now + 1), request, *place, Outcome::Answered);
+    }
+    return local;
+  };
+  play(0, 12000, [&](int /*aNow*/) { return away; });
+  const int local = play(12000, 14000, [](int aNow) {
+    return MakeRequest(static_cast<std::uint64_t>(aNow) % 7);
+  });
+  CHECK_TRUE(local <= 0.15 * 200);
+  CHECK_TRUE(local > 0);
+}
+
 // The load that homes answer: upstreams that remember fewer objects than
 // there are, and more requests than cold work leaves room for.
 TEST(Placement, ObjectsAtTheirHomesServeWhatColdWorkCannot)
--- a/packages/placing/test/PlayedDay.cpp
+++ b/packages/placing/test/PlayedDay.cpp
@@ -87,10 +87,10 @@
   }
   for (int i = 0; i < mSettings.mRegions * mSettings.mHostsPerRegion; ++i) {
     mHosts.push_back(std::make_unique<Host>(i % mSettings.mRegions, placing));
-    mHosts.back()->mPlacement.SetHostCount(
-      static_cast<std::size_t>(mSettings.mRegions) *
-        static_cast<std::size_t>(mSettings.mHostsPerRegion),
-      static_cast<std::size_t>(mSettings.mHostsPerRegion));
+    const auto region = static_cast<std::size_t>(mSettings.mHostsPerRegion);
+    const std::size_t all =
+      region * static_cast<std::size_t>(mSettings.mRegions);
+    mHosts.back()->mPlacement.SetHostCounts({ all, region, all });
     for (const auto& it : mUpstreams) {
       mHosts.back()->mPlacement.Add(base::TimePoint(), it->mSpec, {});
     }
--- a/packages/retries/Retries.h
+++ b/packages/retries/Retries.h
@@ -10,6 +10,14 @@
 
 #include "retries/src/CrashQuarantine.h"
 
+#include "retries/src/CrashWatch.h"
+
+#include "retries/src/CrashGuard.h"
+
 #include "retries/src/HopDeadline.h"
 
+#include "retries/src/IdleTrust.h"
+
 #include "retries/src/StallPolicy.h"
+
+#include "retries/src/StragglerPolicy.h"
