Keep objects warm on a fleet: homes by demand and supply, dearer strays, usual load

Each object had four homes, each of 27 hosts knew only its own requests at an upstream (a report is older than 0.7 s most of the time, and then each host allowed itself two requests: 54 for 9 slots), and leaving a home cost the same at any load. So objects drove each other out, cold work took four times the slots, and the queue sent more of them astray.

Change: HomeShare (which part of a region's objects is at home there, from demand and supply, before anything is measured too), one other home instead of two; LoadMeter (what an upstream usually has, used where the hosts' parts of its slots are under two); strays cost more above a load of 0.8; the limit on shifts holds from the first request. Refusals: upstreams that reject though they have free slots say nothing of the next attempt, so the caller is told to come back in 20 ms instead of 300; 0.85 of the budget of repeats is used (0.7 before), stragglers may use half of it; a host that has just started assumes one host a data centre.

--- a/packages/base/src/Hash.cpp
+++ b/packages/base/src/Hash.cpp
@@ -1,5 +1,7 @@
 #include "base/src/Hash.h"
 
+#include <cmath>
+
 #include <cstdio>
 #include <xxhash.h>
 
@@ -19,6 +21,13 @@
   return it ^ (it >> 33U);
 }
 
+double HashFraction(std::uint64_t aHash)
+{
+  constexpr int kMantissaBits = 53;
+  return std::ldexp(static_cast<double>(aHash >> (64 - kMantissaBits)),
+                    -kMantissaBits);
+}
+
 std::string DigestHex(std::string_view aText)
 {
   const XXH128_hash_t it = XXH3_128bits(aText.data(), aText.size());
--- a/packages/carriage/src/RequestLife.cpp
+++ b/packages/carriage/src/RequestLife.cpp
@@ -102,11 +102,12 @@
     return {};
   }
   if (aMeaning.mIsNotRun) {
+    mHadRoom = aMeaning.mHadRoom;
     if (++mRejections < kMaxRejections) {
       return SeekAgain(true);
     }
     return mMayHaveRun ? End(Fail{ Reason::Rejected })
-                       : End(Refuse{ Reason::Rejected, kRejectedRetryAfter });
+                       : End(Refuse{ Reason::Rejected, RejectedRetryAfter() });
   }
   mMayHaveRun = true;
   ++mRuns;
@@ -129,7 +130,7 @@
       return SeekAgain(false);
     }
     return mMayHaveRun ? End(Fail{ Reason::Broken })
-                       : End(Refuse{ Reason::NoUpstream, kRejectedRetryAfter });
+                       : End(Refuse{ Reason::NoUpstream, kFullRetryAfter });
   }
   mMayHaveRun = true;
   ++mRuns;
--- a/packages/carriage/src/RequestLife.h
+++ b/packages/carriage/src/RequestLife.h
@@ -22,10 +22,17 @@
   bool mIsNotRun = false;
   /** It ran and failed; another upstream may do better. */
   bool mIsFailure = false;
+  /** It did not run although the upstream had a free slot. */
+  bool mHadRoom = false;
 };
 
-/** Wait that is proposed to a caller when an upstream rejected its request. */
-constexpr base::Duration kRejectedRetryAfter = std::chrono::milliseconds(300);
+/** Wait that is proposed to a caller when upstreams without room rejected its
+ * request: about the time in which slots get free. */
+constexpr base::Duration kFullRetryAfter = std::chrono::milliseconds(300);
+
+/** The same when upstreams with free slots rejected it, which says nothing of
+ * the next attempt: only so long that callers don't spin. */
+constexpr base::Duration kShedRetryAfter = std::chrono::milliseconds(20);
 
 /**
  * The life of one request at the host that read it, which is its only sender.
@@ -67,6 +74,11 @@
   bool IsEnded() const { return std::holds_alternative<Ended>(mPhase); }
   /** \returns whether an upstream may have begun to run it. */
   bool MayHaveRun() const { return mMayHaveRun; }
+  /** \returns the wait to propose to the caller of a rejected request. */
+  base::Duration RejectedRetryAfter() const
+  {
+    return mHadRoom ? kShedRetryAfter : kFullRetryAfter;
+  }
   /** \returns attempts made so far. */
   std::uint32_t Attempts() const { return mAttempts; }
 
@@ -100,6 +112,8 @@
   std::uint32_t mRejections = 0;
   bool mMayHaveRun = false;
   bool mIsReplaced = false;
+  /** Whether the last rejection came from an upstream with a free slot. */
+  bool mHadRoom = false;
 };
 
 } // namespace auburnmux::carriage
--- a/packages/carriage/src/WindowBudget.cpp
+++ b/packages/carriage/src/WindowBudget.cpp
@@ -33,7 +33,8 @@
   ++Current(aNow).mRequests;
 }
 
-bool WindowBudget::TrySpend(base::TimePoint aNow, std::size_t aHosts)
+bool WindowBudget::TrySpend(base::TimePoint aNow, std::size_t aHosts,
+                            double aPart)
 {
   Slice& current = Current(aNow);
   double requests = 0;
@@ -44,7 +45,8 @@
   }
   const double hosts = static_cast<double>(std::max<std::size_t>(aHosts, 1));
   const double allowed =
-    mSettings.mShare * (mSettings.mRatio * requests + mSettings.mBurst / hosts);
+    aPart * mSettings.mShare *
+    (mSettings.mRatio * requests + mSettings.mBurst / hosts);
   if (repeats + 1 > allowed) {
     return false;
   }
--- a/packages/carriage/src/WindowBudget.h
+++ b/packages/carriage/src/WindowBudget.h
@@ -16,7 +16,7 @@
   base::Duration mWindow = std::chrono::seconds(10);
   /** Part of both that is used; the rest covers hosts that don't know of one
    * another yet. */
-  double mShare = 0.7;
+  double mShare = 0.85;
 };
 
 /**
@@ -32,8 +32,10 @@
   /** Counts a caller's request. */
   void OnRequest(base::TimePoint aNow);
   /** \returns whether a repeat is allowed, and counts it if so.
-   * \param aHosts hosts that share the budget, this one included */
-  bool TrySpend(base::TimePoint aNow, std::size_t aHosts);
+   * \param aHosts hosts that share the budget, this one included
+   * \param aPart part of the budget that this repeat may use up to; repeats
+   * that matter less leave the rest to others */
+  bool TrySpend(base::TimePoint aNow, std::size_t aHosts, double aPart = 1);
 
 private:
   /** What happened in one tenth of a window. */
--- a/packages/carriage/test/RequestLifeTest.cpp
+++ b/packages/carriage/test/RequestLifeTest.cpp
@@ -144,6 +144,43 @@
   CHECK_FALSE(world.mIsRefused);
 }
 
+// The load that it answers: upstreams that reject nearly half of their requests
+// though they have free slots, so that an immediate return has a fair chance,
+// and others that are full, where it hasn't.
+TEST(RequestLife, RetryAfterTellsChanceFromWantOfRoom)
+{
+  const auto refusal = [](bool aHadRoom) {
+    RequestLife life({ true, 3 });
+    LifeActions actions = life.OnReadable();
+    for (int i = 0; i < 3; ++i) {
+      life.OnPlaced();
+      actions = life.OnResponse({ true, true, aHadRoom });
+    }
+    return std::get<Refuse>(actions.at(0)).mRetryAfter;
+  };
+  CHECK_TRUE(refusal(true) == kShedRetryAfter);
+  CHECK_TRUE(refusal(false) == kFullRetryAfter);
+}
+
+TEST(RequestLife, StragglersLeaveHalfOfTheBudgetToFailures)
+{
+  WindowBudget budget({ 0.2, 0, std::chrono::seconds(10), 1 });
+  const base::TimePoint now{ std::chrono::seconds(100) };
+  for (int i = 0; i < 1000; ++i) {
+    budget.OnRequest(now);
+  }
+  int stragglers = 0;
+  while (budget.TrySpend(now, 1, 0.5)) {
+    ++stragglers;
+  }
+  int failures = 0;
+  while (budget.TrySpend(now, 1)) {
+    ++failures;
+  }
+  CHECK_EQUAL(100, stragglers);
+  CHECK_EQUAL(100, failures);
+}
+
 TEST(RequestLife, AttemptIsReplacedOnceAndOnlyIfItMayRepeat)
 {
   RequestLife once({ false, 3 });
--- a/packages/entry/src/Carrier.cpp
+++ b/packages/entry/src/Carrier.cpp
@@ -29,6 +29,10 @@
  * is refused at least. */
 constexpr base::Duration kQuarantineRetryAfter = std::chrono::minutes(10);
 
+/** Part of the budget of repeats that stragglers may use; the rest is left for
+ * requests that would fail. */
+constexpr double kStragglerBudget = 0.5;
+
 /** Pause before a straggler for which there is no room elsewhere is looked at
  * again. */
 constexpr base::Duration kStragglerPause = std::chrono::milliseconds(50);
@@ -229,12 +233,12 @@
 {
   const base::TimePoint now = mServices.mLoop.Now();
   if (mIsBodyStreaming && mLife->Attempts() > 0) {
-    Execute(mLife->OnNoPlace(Reason::Rejected, carriage::kRejectedRetryAfter));
+    Execute(mLife->OnNoPlace(Reason::Rejected, mLife->RejectedRetryAfter()));
     return;
   }
   if (aIsRepeat && !mServices.Budget(mPlaceRequest.mService)
                       .TrySpend(now, mServices.mSharers)) {
-    Execute(mLife->OnNoPlace(Reason::NoBudget, carriage::kRejectedRetryAfter));
+    Execute(mLife->OnNoPlace(Reason::NoBudget, mLife->RejectedRetryAfter()));
     return;
   }
   mFingerprint = retries::MakeFingerprint(
@@ -264,6 +268,7 @@
   mPlaceRequest.mTimeLeft = TimeLeft();
   const placing::PlaceDecision decision =
     mServices.mPlacement.Place(now, mPlaceRequest);
+  mPlaceRequest.mIsPlacedBefore = true;
   if (const auto* wait = std::get_if<placing::Wait>(&decision)) {
     if (!mTicket) {
       mTicket = mServices.mDispatcher.Enter(
@@ -375,9 +380,9 @@
     });
     return;
   }
-  const bool isAllowed =
-    mServices.mStragglers.TrySpend(now) &&
-    mServices.Budget(mPlaceRequest.mService).TrySpend(now, mServices.mSharers);
+  const bool isAllowed = mServices.mStragglers.TrySpend(now) &&
+                         mServices.Budget(mPlaceRequest.mService)
+                           .TrySpend(now, mServices.mSharers, kStragglerBudget);
   if (!isAllowed) {
     mServices.mPlacement.OnResult(now, request,
                                   { place->mUpstream, Outcome::Abandoned });
@@ -437,6 +442,8 @@
   carriage::ResponseMeaning meaning;
   meaning.mIsNotRun = facts.mIsNotRun || facts.mIsOtherUpstream;
   meaning.mIsFailure = mAttempt->Head().mStatus >= kFirstServerError;
+  meaning.mHadRoom =
+    facts.mLoad && facts.mLoad->mRunning < facts.mLoad->mSlots.Count();
   if (facts.mIsOtherUpstream) {
     EndAttempt(Outcome::Unreachable);
   } else if (meaning.mIsNotRun) {
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace auburnmux::entry {
@@ -221,16 +222,26 @@
 
 void EntryNode::Impl::CountHosts()
 {
-  const auto hosts = mCluster.LiveHosts();
-  const auto here = std::count_if(
-    hosts.begin(), hosts.end(), [this](const membership::HostView& aHost) {
-      return aHost.mHost.mRegion == mSettings.mRegion;
-    });
-  mServices.mSharers = mSharers.Count(mLoop.Now());
-  mServices.mPlacement.SetHostCounts(
-    { std::max<std::size_t>(hosts.size(), 1),
-      std::max<std::size_t>(static_cast<std::size_t>(here), 1),
-      mServices.mSharers });
+  placing::HostCounts counts;
+  counts.mLive = counts.mRegion = counts.mCentre = 0;
+  for (const membership::HostView& it : mCluster.LiveHosts()) {
+    ++counts.mLive;
+    counts.mRegion += it.mHost.mRegion == mSettings.mRegion ? 1 : 0;
+    counts.mCentre += it.mHost.mDataCentre == mSettings.mDataCentre ? 1 : 0;
+  }
+  std::set<base::RegionId> regions;
+  counts.mRegionCentres = 0;
+  for (const auto& [centre, region] : mSettings.mRegions) {
+    regions.insert(region);
+    counts.mRegionCentres += region == mSettings.mRegion ? 1 : 0;
+  }
+  counts.mRegions = std::max<std::size_t>(regions.size(), 1);
+  // A host that has just started doesn't know the others yet; each data centre
+  // has one at least.
+  counts.mSharers =
+    std::max(mSharers.Count(mLoop.Now()), mSettings.mRegions.size());
+  mServices.mSharers = counts.mSharers;
+  mServices.mPlacement.SetHostCounts(counts);
 }
 
 void EntryNode::Impl::JoinOnce()
--- a/packages/placing/Placing.h
+++ b/packages/placing/Placing.h
@@ -16,4 +16,8 @@
 
 #include "placing/src/ShiftLimiter.h"
 
+#include "placing/src/HomeShare.h"
+
+#include "placing/src/LoadMeter.h"
+
 #include "placing/src/Placement.h"
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cassert>
+#include <functional>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace auburnmux::placing {
@@ -16,6 +19,17 @@
 
 constexpr double kBytesPerKilobyte = 1000;
 
+/** \returns where the object stands in the order in which objects are at home
+ * in their region, independent of the order of upstreams. */
+double HomeRank(ObjectHash aObject)
+{
+  static const std::uint64_t sSalt = base::Hash64("home rank");
+  return base::HashFraction(base::CombineHash(sSalt, aObject.Count()));
+}
+
+/** How often supply and demand are compared. */
+constexpr base::Duration kHomeSharePeriod = std::chrono::milliseconds(250);
+
 base::Duration Scale(base::Duration aTime, double aFactor)
 {
   return std::chrono::duration_cast<base::Duration>(aTime * aFactor);
@@ -216,44 +230,71 @@
   return !isLimited || aUpstream.mColdTokens.CanTake(aNow);
 }
 
-Placement::Group Placement::Homes(const Group& aUpstreams,
+Placement::Group Placement::Homes(const Service& aService,
                                   const PlaceRequest& aRequest) const
 {
-  constexpr std::size_t kLocalHomes = 2;
-  constexpr std::size_t kRemoteHomes = 2;
+  constexpr std::size_t kMainHomes = 2;
+  constexpr std::size_t kOtherHomes = 1;
   using Scored = std::pair<std::uint64_t, Upstream*>;
-  std::vector<Scored> local;
-  std::map<base::RegionId, Scored> remote;
-  for (Upstream* it : aUpstreams) {
-    if (!IsAllowed(*it, aRequest)) {
-      continue;
-    }
-    const Scored scored(base::CombineHash(it->mHash, aRequest.mObject->Count()),
-                        it);
-    if (it->mSpec.mRegion == mRegion) {
-      local.push_back(scored);
-    } else {
-      Scored& best = remote[it->mSpec.mRegion];
-      best = std::max(best, scored);
+  std::vector<Scored> here;
+  std::vector<Scored> elsewhere;
+  for (Upstream* it : aService.mUpstreams) {
+    if (IsAllowed(*it, aRequest)) {
+      auto& group = it->mSpec.mRegion == mRegion ? here : elsewhere;
+      group.emplace_back(
+        base::CombineHash(it->mHash, aRequest.mObject->Count()), it);
     }
   }
-  std::vector<Scored> others;
-  others.reserve(remote.size());
-  for (const auto& [region, scored] : remote) {
-    others.push_back(scored);
-  }
   Group homes;
   const auto take = [&homes](std::vector<Scored>& aFrom, std::size_t aCount) {
-    std::sort(aFrom.rbegin(), aFrom.rend());
-    for (std::size_t i = 0; i < std::min(aFrom.size(), aCount); ++i) {
-      homes.push_back(aFrom[i].second);
-    }
+    const auto middle = aFrom.begin() + static_cast<std::ptrdiff_t>(
+                                          std::min(aFrom.size(), aCount));
+    std::partial_sort(aFrom.begin(), middle, aFrom.end(), std::greater<>());
+    std::transform(aFrom.begin(), middle, std::back_inserter(homes),
+                   [](const Scored& aScored) { return aScored.second; });
   };
-  take(local, kLocalHomes);
-  take(others, kRemoteHomes);
+  const bool isHere = HomeRank(*aRequest.mObject) < aService.mHomes.Share();
+  take(isHere ? here : elsewhere, kMainHomes);
+  take(isHere ? elsewhere : here, kOtherHomes);
   return homes;
 }
 
+void Placement::UpdateHomeShare(base::TimePoint aNow, Service& aService)
+{
+  if (aNow - aService.mHomesUpdated < kHomeSharePeriod) {
+    return;
+  }
+  aService.mHomesUpdated = aNow;
+  Supply supply;
+  supply.mCentreHosts = mHosts.mCentre;
+  supply.mRegionCentres = mHosts.mRegionCentres;
+  supply.mRegions = mHosts.mRegions;
+  std::set<base::RegionId> regions{ mRegion };
+  for (const Upstream* it : aService.mUpstreams) {
+    regions.insert(it->mSpec.mRegion);
+    if (!it->mIsLeaving && !it->mIsEvacuated && !it->mGauge.IsPaused()) {
+      const double slots = it->mGauge.Slots().Count();
+      supply.mAllSlots += slots;
+      supply.mRegionSlots += it->mSpec.mRegion == mRegion ? slots : 0;
+    }
+  }
+  supply.mRegions = std::max(supply.mRegions, regions.size());
+  aService.mHomes.Update(aNow, supply, mShift.IsLifted(aNow));
+}
+
+Placement::Outlook Placement::MakeOutlook(base::TimePoint aNow,
+                                          const Service& aService,
+                                          const PlaceRequest& aRequest) const
+{
+  Outlook outlook;
+  if (aRequest.mObject) {
+    outlook.mHomes = Homes(aService, aRequest);
+  }
+  outlook.mUsualLoad = aService.mLoad.Usual(aNow);
+  outlook.mUsualFailures = aService.mFailures.Share(aNow);
+  return outlook;
+}
+
 Warmth Placement::WarmthOf(const Upstream& aUpstream,
                            const PlaceRequest& aRequest,
                            const Group& aHomes) const
@@ -268,16 +309,18 @@
   if (home == aHomes.end()) {
     return Warmth::None;
   }
-  if (aUpstream.mSpec.mRegion != mRegion) {
-    return Warmth::RemoteHome;
+  if (home == aHomes.begin()) {
+    return Warmth::Home;
   }
-  return home == aHomes.begin() ? Warmth::Home : Warmth::SpareHome;
+  return aUpstream.mSpec.mRegion == aHomes.front()->mSpec.mRegion
+           ? Warmth::SpareHome
+           : Warmth::RemoteHome;
 }
 
 Placement::Candidate Placement::Rate(base::TimePoint aNow, Upstream& aUpstream,
                                      Warmth aWarmth,
                                      const PlaceRequest& aRequest,
-                                     double aUsualFailures) const
+                                     const Outlook& aOutlook) const
 {
   const UpstreamGauge& gauge = aUpstream.mGauge;
   const base::Duration work =
@@ -285,9 +328,11 @@
   Candidate candidate;
   candidate.mUpstream = &aUpstream;
   candidate.mWarmth = aWarmth;
-  const base::Duration wait = gauge.Wait(aNow, aUpstream.mQueued);
-  candidate.mHasRoom = gauge.HasRoom(
-    aNow, aUpstream.mSpec.mRegion == mRegion ? mHosts.mRegion : mHosts.mLive);
+  const UsualLoad usual{ aOutlook.mUsualLoad, aUpstream.mSpec.mRegion == mRegion
+                                                ? mHosts.mRegion
+                                                : mHosts.mLive };
+  const base::Duration wait = gauge.Wait(aNow, usual, aUpstream.mQueued);
+  candidate.mHasRoom = gauge.HasRoom(aNow, usual);
   candidate.mWork = Scale(work, gauge.Slowness(aNow));
   candidate.mExpected = Trip(aUpstream) + wait +
                         Scale(candidate.mWork, std::max(1.0, gauge.Pace()));
@@ -298,7 +343,7 @@
                           candidate.mExpected > aRequest.mTimeLeft;
   // Failures that all upstreams share are no reason to leave warm ones.
   const double failures =
-    std::max(0.0, gauge.FailureShare(aNow) - aUsualFailures);
+    std::max(0.0, gauge.FailureShare(aNow) - aOutlook.mUsualFailures);
   candidate.mCost =
     candidate.mExpected + gauge.Silence(aNow) +
     TransferCost(aUpstream, aRequest.mBytes) +
@@ -306,17 +351,21 @@
   return candidate;
 }
 
-double Placement::StrayTargets(Warmth aWarmth) const
+double Placement::StrayTargets(Warmth aWarmth,
+                               std::optional<double> aUsualLoad) const
 {
+  const double pressure =
+    std::max(0.0, aUsualLoad.value_or(0) - mSettings.mCalmLoad);
+  const double factor = 1 + mSettings.mPressureFactor * pressure;
   switch (aWarmth) {
     case Warmth::Recent:
     case Warmth::Home:
       return 0;
     case Warmth::SpareHome:
     case Warmth::RemoteHome:
-      return mSettings.mSpareTargets;
+      return mSettings.mSpareTargets * factor;
     case Warmth::None:
-      return mSettings.mStrayTargets;
+      return mSettings.mStrayTargets * factor;
   }
   return 0;
 }
@@ -325,9 +374,7 @@
                                        const Service& aService,
                                        const PlaceRequest& aRequest) const
 {
-  const Group homes =
-    aRequest.mObject ? Homes(aService.mUpstreams, aRequest) : Group();
-  const double usual = aService.mFailures.Share(aNow);
+  const Outlook outlook = MakeOutlook(aNow, aService, aRequest);
   const bool mayLeave = mShift.MayLeave(aNow);
   const bool mayStay = mShift.MayStay(aNow);
   Candidate best;
@@ -336,10 +383,11 @@
     if (!IsUsable(aNow, *it, aRequest)) {
       continue;
     }
-    const Warmth warmth = WarmthOf(*it, aRequest, homes);
-    Candidate candidate = Rate(aNow, *it, warmth, aRequest, usual);
+    const Warmth warmth = WarmthOf(*it, aRequest, outlook.mHomes);
+    Candidate candidate = Rate(aNow, *it, warmth, aRequest, outlook);
     if (aRequest.mObject) {
-      candidate.mCost += Scale(aRequest.mLatencyTarget, StrayTargets(warmth));
+      candidate.mCost += Scale(aRequest.mLatencyTarget,
+                               StrayTargets(warmth, outlook.mUsualLoad));
     }
     if (aRequest.mStraggling == it->mSpec.mId) {
       candidate.mCost +=
@@ -363,6 +411,12 @@
   if (service == mServices.end()) {
     return NoUpstream{ kDefaultRetryAfter };
   }
+  if (!aRequest.mIsPlacedBefore) {
+    service->second.mHomes.OnRequest(
+      aNow,
+      mWork.Expect(aRequest.mKind, Warmth::Recent, aRequest.mLatencyTarget));
+  }
+  UpdateHomeShare(aNow, service->second);
   const Candidate best = BestOf(aNow, service->second, aRequest);
   if (best.mUpstream == nullptr) {
     return NoUpstream{ kDefaultRetryAfter };
@@ -418,7 +472,13 @@
     mShift.OnCapacityChanged(aNow);
   }
   if (aResult.mReport) {
-    upstream->mGauge.OnReport(aNow, *aResult.mReport);
+    const LoadReport& report = *aResult.mReport;
+    upstream->mGauge.OnReport(aNow, report);
+    if (report.mSlots.Count() > 0) {
+      mServices[upstream->mSpec.mService].mLoad.OnReport(
+        aNow, static_cast<double>(report.mRunning + report.mWaiting) /
+                report.mSlots.Count());
+    }
   }
 }
 
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "placing/src/HomeShare.h"
+#include "placing/src/LoadMeter.h"
 #include "placing/src/LoadReport.h"
 #include "placing/src/PlacingSettings.h"
 #include "placing/src/ShiftLimiter.h"
@@ -47,6 +49,8 @@
   base::ByteCount mBytes;
   /** Regions that may handle it; empty allows all. */
   std::vector<base::RegionId> mAllowedRegions;
+  /** Whether Place() was called for it before. */
+  bool mIsPlacedBefore = false;
   /** Upstreams that were tried already. */
   std::vector<base::UpstreamId> mTried;
   /** Where an attempt takes too long; another upstream that has the object at
@@ -99,6 +103,11 @@
   /** Hosts that may be using their part of a shared bound, be they live or
    * only cut off. */
   std::size_t mSharers = 1;
+  /** Live hosts of this host's data centre. */
+  std::size_t mCentre = 1;
+  /** Data centres of this host's region. */
+  std::size_t mRegionCentres = 1;
+  std::size_t mRegions = 1;
 };
 
 /** How a request ended at its upstream. */
@@ -206,6 +215,16 @@
     Group mUpstreams;
     /** Share of failures over all its upstreams. */
     FailureMeter mFailures{ kServiceSampleWeight };
+    LoadMeter mLoad;
+    HomeShare mHomes;
+    base::TimePoint mHomesUpdated;
+  };
+  /** What holds for all upstreams that a request may go to. */
+  struct Outlook
+  {
+    Group mHomes;
+    std::optional<double> mUsualLoad;
+    double mUsualFailures = 0;
   };
   static constexpr double kServiceSampleWeight = 0.02;
 
@@ -215,15 +234,21 @@
   bool IsUsable(base::TimePoint aNow, const Upstream& aUpstream,
                 const PlaceRequest& aRequest) const;
   /** \returns the upstreams at which all hosts of this region expect the
-   * object: two of this region and the first of up to two others. */
-  Group Homes(const Group& aUpstreams, const PlaceRequest& aRequest) const;
+   * object, best first: two of the region where its home is, one of the
+   * others. */
+  Group Homes(const Service& aService, const PlaceRequest& aRequest) const;
+  /** Follows demand and supply with the share of objects at home here. */
+  void UpdateHomeShare(base::TimePoint aNow, Service& aService);
+  Outlook MakeOutlook(base::TimePoint aNow, const Service& aService,
+                      const PlaceRequest& aRequest) const;
   Warmth WarmthOf(const Upstream& aUpstream, const PlaceRequest& aRequest,
                   const Group& aHomes) const;
-  double StrayTargets(Warmth aWarmth) const;
+  /** \returns the price of leaving an object's home, in latency targets. */
+  double StrayTargets(Warmth aWarmth, std::optional<double> aUsualLoad) const;
   Candidate BestOf(base::TimePoint aNow, const Service& aService,
                    const PlaceRequest& aRequest) const;
   Candidate Rate(base::TimePoint aNow, Upstream& aUpstream, Warmth aWarmth,
-                 const PlaceRequest& aRequest, double aUsualFailures) const;
+                 const PlaceRequest& aRequest, const Outlook& aOutlook) const;
   base::Duration Trip(const Upstream& aUpstream) const;
   base::Duration TransferCost(const Upstream& aUpstream,
                               base::ByteCount aBytes) const;
--- a/packages/placing/src/PlacingSettings.h
+++ b/packages/placing/src/PlacingSettings.h
@@ -40,6 +40,14 @@
    * first one is full. */
   double mSpareTargets = 0.3;
 
+  /**
+   * Load at which leaving a home gets dearer, in requests for each slot, and by
+   * how much for each further one: a cold piece of work takes the slots of
+   * several warm ones, and drives out an object that will be asked for again.
+   */
+  double mCalmLoad = 0.8;
+  double mPressureFactor = 6;
+
   /** Delay that trying a straggling request at the same upstream counts for, as
    * a multiple of the latency target: less than the work is longer elsewhere
    * without the object, more than where it is at hand. */
--- a/packages/placing/src/ShiftLimiter.cpp
+++ b/packages/placing/src/ShiftLimiter.cpp
@@ -24,10 +24,15 @@
 {
 }
 
+bool ShiftLimiter::IsLifted(base::TimePoint aNow) const
+{
+  return mChangedAt && aNow - *mChangedAt < kLift;
+}
+
 std::optional<ShiftLimiter::Windows> ShiftLimiter::LimitingWindows(
   base::TimePoint aNow) const
 {
-  if (mChangedAt && aNow - *mChangedAt < kLift) {
+  if (IsLifted(aNow)) {
     return std::nullopt;
   }
   Windows windows;
--- a/packages/placing/src/ShiftLimiter.h
+++ b/packages/placing/src/ShiftLimiter.h
@@ -21,8 +21,16 @@
   explicit ShiftLimiter(double aMaxShift);
 
   void SetMaxShift(double aMaxShift) { mMaxShift = aMaxShift; }
-  /** The usable upstreams changed. */
-  void OnCapacityChanged(base::TimePoint aNow) { mChangedAt = aNow; }
+  /** The usable upstreams changed; before the first request that is no change.
+   */
+  void OnCapacityChanged(base::TimePoint aNow)
+  {
+    if (!mSlices.empty()) {
+      mChangedAt = aNow;
+    }
+  }
+  /** \returns whether a change of the upstreams lifts the limit. */
+  bool IsLifted(base::TimePoint aNow) const;
   /** \returns whether another request may go to another region. */
   bool MayLeave(base::TimePoint aNow) const;
   /** \returns whether another request may stay in this region: the share that
--- a/packages/placing/src/UpstreamGauge.cpp
+++ b/packages/placing/src/UpstreamGauge.cpp
@@ -24,6 +24,11 @@
  * upstream is gone. One may be a single long piece of work. */
 constexpr int kSilentTimeouts = 2;
 
+/** Slots that each host may take for itself without a report, at least. Where
+ * so many hosts share an upstream that their parts are smaller, the usual load
+ * tells more. */
+constexpr double kLeastPart = 2;
+
 double Decay(base::Duration aAge, Seconds aLife)
 {
   return std::exp(-Seconds(aAge) / aLife);
@@ -71,6 +76,7 @@
   const double total = aReport.mRunning + aReport.mWaiting;
   mOthers = std::max(0.0, total - mOwn);
   mReportedAt = aNow;
+  mSlownessAt = aNow;
   mSlowness = std::max(1.0, aReport.mSlowness);
   if (aReport.mSlots.Count() > 0) {
     mSlots = aReport.mSlots;
@@ -134,6 +140,7 @@
 void UpstreamGauge::OnHealthy(base::TimePoint aNow)
 {
   mPausedUntil.reset();
+  mOthers = 0;
   mReportedAt = aNow;
 }
 
@@ -153,26 +160,42 @@
   Pause(aNow);
 }
 
-double UpstreamGauge::Load(base::TimePoint aNow) const
+double UpstreamGauge::PartOfSlots(std::size_t aHosts) const
 {
-  return mOwn + mOthers * Decay(aNow - mReportedAt, mSettings->mReportLife);
+  return static_cast<double>(mSlots.Count()) /
+         static_cast<double>(std::max<std::size_t>(aHosts, 1));
+}
+
+double UpstreamGauge::Load(base::TimePoint aNow, const UsualLoad& aUsual) const
+{
+  const double freshness =
+    mReportedAt ? Decay(aNow - *mReportedAt, mSettings->mReportLife) : 0;
+  const double reported = mOwn + mOthers * freshness;
+  if (PartOfSlots(aUsual.mHosts) >= kLeastPart) {
+    return reported; // the hosts' parts bound what isn't reported
+  }
+  const double usual = aUsual.mPerSlot.value_or(0) * mSlots.Count();
+  return reported + std::max(0.0, usual - mOwn) * (1 - freshness);
 }
 
-bool UpstreamGauge::HasRoom(base::TimePoint aNow, std::size_t aHosts) const
+bool UpstreamGauge::HasRoom(base::TimePoint aNow, const UsualLoad& aUsual) const
 {
   const double slots = std::max(1.0, static_cast<double>(mSlots.Count()));
-  if (aNow - mReportedAt > mSettings->mFreshReport) {
-    const double part =
-      std::ceil(slots / static_cast<double>(std::max<std::size_t>(aHosts, 1)));
-    return mOwn < std::max(part, 2.0);
+  const double part = PartOfSlots(aUsual.mHosts);
+  const bool isReportFresh =
+    mReportedAt && aNow - *mReportedAt <= mSettings->mFreshReport;
+  if (!isReportFresh && (part >= kLeastPart || !aUsual.mPerSlot)) {
+    return mOwn < std::max(std::ceil(part), kLeastPart);
   }
-  return Load(aNow) + 1 <= slots * (1 + mSettings->mQueueShare);
+  return Load(aNow, aUsual) + 1 <= slots * (1 + mSettings->mQueueShare);
 }
 
-base::Duration UpstreamGauge::Wait(base::TimePoint aNow, double aQueued) const
+base::Duration UpstreamGauge::Wait(base::TimePoint aNow,
+                                   const UsualLoad& aUsual,
+                                   double aQueued) const
 {
   const double slots = std::max(1.0, static_cast<double>(mSlots.Count()));
-  const double excess = Load(aNow) + aQueued + 1 - slots;
+  const double excess = Load(aNow, aUsual) + aQueued + 1 - slots;
   if (excess <= 0) {
     return {};
   }
@@ -193,7 +216,7 @@
 double UpstreamGauge::Slowness(base::TimePoint aNow) const
 {
   return 1 +
-         (mSlowness - 1) * Decay(aNow - mReportedAt, mSettings->mSlownessLife);
+         (mSlowness - 1) * Decay(aNow - mSlownessAt, mSettings->mSlownessLife);
 }
 
 } // namespace auburnmux::placing
--- a/packages/placing/src/UpstreamGauge.h
+++ b/packages/placing/src/UpstreamGauge.h
@@ -33,6 +33,15 @@
  * elsewhere. */
 std::optional<double> FailureOf(Outcome aOutcome);
 
+/** What is known of an upstream that did not report lately. */
+struct UsualLoad
+{
+  /** Requests for each slot at the service's upstreams; none if unknown. */
+  std::optional<double> mPerSlot;
+  /** Hosts that may send to it. */
+  std::size_t mHosts = 1;
+};
+
 /**
  * Load and soundness of one upstream as one host sees them: its own requests
  * exactly, those of other hosts by the upstream's latest report.
@@ -59,17 +68,18 @@
   std::uint32_t Own() const { return mOwn; }
 
   /** \returns requests of all hosts that it runs or queues. */
-  double Load(base::TimePoint aNow) const;
+  double Load(base::TimePoint aNow, const UsualLoad& aUsual) const;
   /** \returns how long a new request waits for a slot, behind \a aQueued
    * others that this host holds back. */
-  base::Duration Wait(base::TimePoint aNow, double aQueued) const;
+  base::Duration Wait(base::TimePoint aNow, const UsualLoad& aUsual,
+                      double aQueued) const;
   /**
    * \returns whether a request may be sent: the upstream has a slot for it, or
    * a short queue, so that no slot idles while the next request is on its way.
-   * \param aHosts hosts that may send to it; without a fresh report each keeps
-   * to its part of the slots
+   * Without a fresh report each host keeps to its part of the slots, or goes by
+   * the usual load where these parts are too small.
    */
-  bool HasRoom(base::TimePoint aNow, std::size_t aHosts) const;
+  bool HasRoom(base::TimePoint aNow, const UsualLoad& aUsual) const;
   /** \returns how much longer than expected work takes there, other than by
    * what its reports say. */
   double Pace() const { return mPace; }
@@ -92,6 +102,8 @@
   base::Duration Silence(base::TimePoint aNow) const;
 
 private:
+  /** \returns each host's part of the slots. */
+  double PartOfSlots(std::size_t aHosts) const;
   void LearnWork(base::Duration aWork, base::Duration aExpected);
   /** Judges from an outcome whether the upstream still responds. */
   void HearOf(base::TimePoint aNow, Outcome aOutcome);
@@ -101,7 +113,9 @@
   base::SlotCount mSlots;
   std::uint32_t mOwn = 0;
   double mOthers = 0;
-  base::TimePoint mReportedAt;
+  /** Unset until the upstream reports. */
+  std::optional<base::TimePoint> mReportedAt;
+  base::TimePoint mSlownessAt;
   double mSlowness = 1;
   double mPace = 1;
   /** Mean time that a request occupies a slot. */
--- a/packages/placing/test/PlacementTest.cpp
+++ b/packages/placing/test/PlacementTest.cpp
@@ -3,6 +3,7 @@
 #include "base/test/support/Property.h"
 
 #include <algorithm>
+#include <cmath>
 #include <list>
 
 using namespace auburnmux;
@@ -301,3 +302,43 @@
   CHECK_TRUE(InTimeShare(bounded, 10, 14) >
              InTimeShare(unbounded, 10, 14) + 0.05);
 }
+
+// The load that the usual load and dearer strays answer: so many hosts share
+// the upstreams that each hears little of them, and demand that fits only if
+// each object stays at its home. Without both, all work gets cold for good.
+TEST(Placement, FleetKeepsItsObjectsWarmUnderLoad)
+{
+  DaySettings day;
+  day.mHostsPerRegion = 9;
+  day.mUpstreams = { 2, 6, 6 };
+  day.mSlots = 9;
+  day.mMemory = 32;
+  day.mObjects = 107;
+  day.mColdWork = milliseconds(1020);
+  day.mWarmWork = milliseconds(255);
+  day.mLatencyTarget = milliseconds(600);
+  day.mTimeout = milliseconds(3000);
+  day.mRequestsPerSecond = 230; // 126 slots: 124/s cold, 494/s warm
+  const auto fleet = PlayedDay(day).Run();
+  CHECK_TRUE(InTimeShare(fleet, 12, 20) > 0.8);
+}
+
+// Found on belhadj-rotas-grown quiet-1: a region with a tenth of the upstreams
+// sent 28 in 100 of its requests to other regions than in the 2 s before, just
+// after the start.
+TEST(Placement, SmallRegionSharesItsWorkFromTheFirstSecondOn)
+{
+  DaySettings day;
+  day.mUpstreams = { 2, 9, 9 };
+  day.mRequestsPerSecond = 200;
+  const auto seconds = PlayedDay(day).Run();
+  const auto away = [&](std::size_t aFrom) {
+    const SecondOfDay& a = seconds[aFrom];
+    const SecondOfDay& b = seconds[aFrom + 1];
+    return static_cast<double>(a.mAwayOfFirst + b.mAwayOfFirst) /
+           static_cast<double>(a.mServedOfFirst + b.mServedOfFirst);
+  };
+  for (std::size_t i = 0; i + 4 <= 12; ++i) {
+    CHECK_TRUE(std::abs(away(i + 2) - away(i)) <= 0.15);
+  }
+}
--- a/packages/placing/test/PlayedDay.cpp
+++ b/packages/placing/test/PlayedDay.cpp
@@ -90,7 +90,9 @@
     const auto region = static_cast<std::size_t>(mSettings.mHostsPerRegion);
     const std::size_t all =
       region * static_cast<std::size_t>(mSettings.mRegions);
-    mHosts.back()->mPlacement.SetHostCounts({ all, region, all });
+    mHosts.back()->mPlacement.SetHostCounts(
+      { all, region, all, region, 1,
+        static_cast<std::size_t>(mSettings.mRegions) });
     for (const auto& it : mUpstreams) {
       mHosts.back()->mPlacement.Add(base::TimePoint(), it->mSpec, {});
     }
@@ -267,7 +269,7 @@
                            static_cast<std::uint32_t>(aUpstream.mQueue.size()),
                            aUpstream.mSpec.mSlots, 1 };
   At(mNow + (isLocal ? kLocalTrip : kRemoteTrip) / 2,
-     [this, &aUpstream, aRequest, report] {
+     [this, &aUpstream, aRequest, report, isAway = !isLocal] {
        if (std::exchange(aRequest->mIsOver, true)) {
          return;
        }
@@ -277,6 +279,10 @@
            mNow - aRequest->mSent, aRequest->mPlaced.mExpectedWork, report });
        SecondOfDay& second = SecondOf(*aRequest);
        ++second.mServed;
+       if (aRequest->mHost->mRegion == 0) {
+         ++second.mServedOfFirst;
+         second.mAwayOfFirst += isAway ? 1 : 0;
+       }
        second.mInTime +=
          mNow - aRequest->mArrived <= mSettings.mLatencyTarget ? 1 : 0;
      });
--- a/packages/placing/test/support/PlayedDay.h
+++ b/packages/placing/test/support/PlayedDay.h
@@ -49,6 +49,9 @@
   int mInTime = 0;
   int mServed = 0;
   int mRefused = 0;
+  /** Of the first region's clients: served, and served in another region. */
+  int mServedOfFirst = 0;
+  int mAwayOfFirst = 0;
 };
 
 /** Plays a day in virtual time with the decisions that ship. */
