Name hosts with narrow links only when needed; split the carrier by its jobs

Ruled out: cold objects (92 in 100 went to a home) and waiting for room. Change: hosts tell each other their link and processor (limits of the settings), and look-ups leave out links under a quarter of the widest while two or more others are there with half of the processor time.

--- a/packages/cluster/src/WireBeat.cpp
+++ b/packages/cluster/src/WireBeat.cpp
@@ -50,6 +50,8 @@
   aOut.set_address(host.mAddress);
   aOut.set_http_port(host.mHttpPort.Count());
   aOut.set_peer_port(host.mPeerPort.Count());
+  aOut.set_link_mbps(host.mCapacity.mLink.Count());
+  aOut.set_milli_cores(host.mCapacity.mProcessor.Count());
   for (const base::HostId& it : aUpdate.mConfirmedBy) {
     aOut.add_confirmed_by(it.Text());
   }
@@ -86,7 +88,9 @@
     base::RegionId(aUpdate.region()),
     aUpdate.address(),
     base::PortNumber(static_cast<std::uint16_t>(aUpdate.http_port())),
-    base::PortNumber(static_cast<std::uint16_t>(aUpdate.peer_port()))
+    base::PortNumber(static_cast<std::uint16_t>(aUpdate.peer_port())),
+    { membership::LinkRate(aUpdate.link_mbps()),
+      membership::MilliCores(aUpdate.milli_cores()) }
   };
   update.mRefutation = membership::Refutation(aUpdate.refutation());
   update.mState = *state;
--- a/packages/entry/src/Carrier.h
+++ b/packages/entry/src/Carrier.h
@@ -12,7 +12,10 @@
 
 /**
  * Carries one request: keeps its body, does what its RequestLife decides, and
- * delivers the response. It lives until the exchange with the client ends.
+ * delivers the response. It lives until the exchange with the client ends. The
+ * members are in four sources: the request itself (Carrier.cpp), the choice of
+ * an upstream (CarrierPlacing.cpp), the attempts there (CarrierAttempts.cpp)
+ * and what the client and the log are told (CarrierAnswers.cpp).
  */
 class Carrier final
   : public AttemptObserver
@@ -21,6 +24,8 @@
 public:
   /** Longest request body that is kept, so that it can be sent again. */
   static constexpr std::size_t kMaxKeptBody = std::size_t{ 1 } << 20U;
+  /** Bytes that may wait for a slow reader before the writer is paused. */
+  static constexpr base::ByteCount kMaxPending{ std::uint64_t{ 256 } << 10U };
 
   Carrier(Services& aServices, std::shared_ptr<http::ServerExchange> aExchange);
   ~Carrier() override;
@@ -69,6 +74,8 @@
   void WatchForStraggling();
   /** Sends the request anew if its attempt takes too long. */
   void OnStraggling();
+  /** Logs that the attempt is given up for a new one. */
+  void LogStraggler(const base::UpstreamId& aTo);
   void LogEnd(std::string_view aOutcome, int aStatus);
   void StopTimer();
   void StopWatch();
--- /dev/null
+++ b/packages/entry/src/CarrierAnswers.cpp
@@ -0,0 +1,138 @@
+#include "entry/src/Carrier.h"
+
+#include <cstdio>
+
+namespace auburnmux::entry {
+
+namespace {
+
+using carriage::Reason;
+
+std::string FormatSeconds(base::Duration aTime)
+{
+  char buf[32];
+  const std::chrono::duration<double> seconds = aTime;
+  const int n = std::snprintf(buf, sizeof buf, "%.3f", seconds.count());
+  return { buf, static_cast<std::size_t>(n) };
+}
+
+std::int64_t Milliseconds(base::Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
+} // namespace
+
+void Carrier::Relay()
+{
+  StopTimer();
+  http::ResponseHead head = mAttempt->Head();
+  http::RemoveHopByHop(head.mHeaders);
+  if (mExchange->Head().mMethod != "HEAD") {
+    head.mContentLength = base::ByteCount(mAttempt->Body().size());
+  }
+  const std::string body = mAttempt->Body();
+  LogEnd("relayed", head.mStatus);
+  mIsAnswered = true;
+  mExchange->SendHead(head);
+  mExchange->SendBody(body);
+  if (!mExchange->IsClosed()) {
+    mExchange->Finish();
+  }
+}
+
+void Carrier::Refuse(Reason aReason, base::Duration aRetryAfter)
+{
+  LeaveQueue();
+  StopTimer();
+  LogEnd(carriage::ReasonName(aReason), 503);
+  mIsAnswered = true;
+  http::Headers headers;
+  if (aRetryAfter > base::Duration::zero()) {
+    headers.Append("retry-after", FormatSeconds(aRetryAfter));
+  }
+  mExchange->Respond(503, headers, "");
+}
+
+void Carrier::DenyUnknownRoute()
+{
+  LogEnd("no_route", 404);
+  mIsAnswered = true;
+  mExchange->Respond(404, {}, "");
+}
+
+void Carrier::SendFailure(Reason aReason)
+{
+  LeaveQueue();
+  if (mIsAnswered) { // a part of a response was delivered
+    StopTimer();
+    LogEnd("cut", 0);
+    mExchange->Abort();
+    return;
+  }
+  if (mKept) {
+    mAttempt = mKept;
+    Relay();
+    return;
+  }
+  StopTimer();
+  const int status = aReason == Reason::TimeUp ? 504 : 502;
+  LogEnd(carriage::ReasonName(aReason), status);
+  mIsAnswered = true;
+  mExchange->Respond(status, {}, "");
+}
+
+void Carrier::OnClosed(bool aIsComplete)
+{
+  if (!aIsComplete && mLife && !mLife->IsEnded()) {
+    LogEnd("client_gone", 0);
+    Execute(mLife->OnCallerGone());
+  }
+  LeaveQueue();
+  StopTimer();
+}
+
+void Carrier::LogEnd(std::string_view aOutcome, int aStatus)
+{
+  base::LogLine line("request");
+  line.With("id", mFacts.mId)
+    .With("outcome", aOutcome)
+    .With("status", aStatus)
+    .With("ms", Milliseconds(mServices.mLoop.Now() - mArrived))
+    .With("config", mServices.mRoutes.Version());
+  if (mRoute) {
+    line.With("route", mRoute->mId)
+      .With("service", mPlaceRequest.mService)
+      .With("object", mFacts.mObject.value_or(""));
+  }
+  if (mLife && mLife->Attempts() > 0) {
+    line.With("attempts", mLife->Attempts())
+      .With("upstream", mAttempt->Place().mUpstream)
+      .With("warmth", static_cast<int>(mAttempt->Place().mWarmth))
+      .With("expected_ms", Milliseconds(mAttempt->Place().mExpected))
+      .With("attempt_ms", Milliseconds(mAttempt->Elapsed()))
+      .With("waited_ms", Milliseconds(mWaited));
+  }
+  base::LogInfo(line);
+  if (mRoute) {
+    const base::TimePoint now = mServices.mLoop.Now();
+    mServices.mMetrics.Observe("auburnmux_request_seconds",
+                               { { "route", mRoute->mId.Text() } }, now,
+                               now - mArrived);
+  }
+  mServices.mMetrics.Count("auburnmux_requests_total",
+                           { { "outcome", std::string(aOutcome) } });
+}
+
+void Carrier::LogStraggler(const base::UpstreamId& aTo)
+{
+  base::LogInfo(
+    base::LogLine("straggler")
+      .With("id", mFacts.mId)
+      .With("upstream", mAttempt->Place().mUpstream)
+      .With("expected_ms", Milliseconds(mAttempt->Place().mExpected))
+      .With("ms", Milliseconds(mAttempt->Elapsed()))
+      .With("to", aTo));
+}
+
+} // namespace auburnmux::entry
--- a/packages/entry/src/Directory.cpp
+++ b/packages/entry/src/Directory.cpp
@@ -1,46 +1,82 @@
 #include "entry/src/Directory.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace auburnmux::entry {
 
 namespace {
 
 using membership::HostState;
 using membership::HostView;
+using Hosts = std::vector<HostView>;
+
+/** A link is narrow if the widest one carries more than this many times as
+ * much; below that, other delays of a request outweigh it. */
+constexpr std::uint32_t kNarrow = 4;
+
+/** Hosts with wide links that have to be there before others are left out. */
+constexpr std::size_t kLeastWide = 2;
 
 template<typename Condition>
-std::vector<http::Endpoint> Select(const std::vector<HostView>& aHosts,
-                                   Condition aCondition)
+Hosts Select(const Hosts& aHosts, Condition aCondition)
 {
-  std::vector<http::Endpoint> selected;
+  Hosts selected;
+  std::copy_if(aHosts.begin(), aHosts.end(), std::back_inserter(selected),
+               aCondition);
+  return selected;
+}
+
+std::uint64_t Processors(const Hosts& aHosts)
+{
+  std::uint64_t sum = 0;
   for (const HostView& it : aHosts) {
-    if (selected.size() < kMaxDirectoryHosts && aCondition(it)) {
-      selected.push_back({ it.mHost.mAddress, it.mHost.mHttpPort });
-    }
+    sum += it.mHost.mCapacity.mProcessor.Count();
   }
-  return selected;
+  return sum;
+}
+
+Hosts WithoutNarrowLinks(const Hosts& aHosts)
+{
+  std::uint32_t widest = 0;
+  for (const HostView& it : aHosts) {
+    widest = std::max(widest, it.mHost.mCapacity.mLink.Count());
+  }
+  Hosts wide = Select(aHosts, [widest](const HostView& aHost) {
+    return aHost.mHost.mCapacity.mLink.Count() >= widest / kNarrow;
+  });
+  const bool canCarry =
+    wide.size() >= kLeastWide && 2 * Processors(wide) >= Processors(aHosts);
+  return canCarry ? wide : aHosts;
 }
 
 } // namespace
 
-std::vector<http::Endpoint> ChooseHosts(const std::vector<HostView>& aHosts,
+std::vector<http::Endpoint> ChooseHosts(const Hosts& aHosts,
                                         const base::DataCentreId& aCentre,
                                         const base::RegionId& aRegion)
 {
-  const auto isLive = [](const HostView& aHost) {
+  const Hosts live = Select(aHosts, [](const HostView& aHost) {
     return aHost.mState == HostState::Alive;
-  };
-  auto chosen = Select(aHosts, [&](const HostView& aHost) {
-    return isLive(aHost) && aHost.mHost.mDataCentre == aCentre;
+  });
+  Hosts chosen = Select(live, [&](const HostView& aHost) {
+    return aHost.mHost.mDataCentre == aCentre;
   });
   if (chosen.empty()) {
-    chosen = Select(aHosts, [&](const HostView& aHost) {
-      return isLive(aHost) && aHost.mHost.mRegion == aRegion;
+    chosen = Select(live, [&](const HostView& aHost) {
+      return aHost.mHost.mRegion == aRegion;
     });
   }
   if (chosen.empty()) {
-    chosen = Select(aHosts, isLive);
+    chosen = live;
+  }
+  std::vector<http::Endpoint> endpoints;
+  for (const HostView& it : WithoutNarrowLinks(chosen)) {
+    if (endpoints.size() < kMaxDirectoryHosts) {
+      endpoints.push_back({ it.mHost.mAddress, it.mHost.mHttpPort });
+    }
   }
-  return chosen;
+  return endpoints;
 }
 
 } // namespace auburnmux::entry
--- a/packages/entry/src/Directory.h
+++ b/packages/entry/src/Directory.h
@@ -14,7 +14,9 @@
 /**
  * Chooses the hosts that a client is to use: the live ones of its data centre,
  * else of its region, else all. Hosts that are leaving or silent are left out
- * while another is live.
+ * while another is live. So are hosts with a link that is narrow beside the
+ * others', as long as two or more others are there with half of the processor
+ * time: long bodies take many times longer through them.
  */
 std::vector<http::Endpoint> ChooseHosts(
   const std::vector<membership::HostView>& aHosts,
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -43,7 +43,7 @@
   settings.mSelf = { aSettings.mHost,           base::Incarnation(1),
                      aSettings.mDataCentre,     aSettings.mRegion,
                      aSettings.mFront.mAddress, aSettings.mFront.mPort,
-                     aSettings.mPeer.mPort };
+                     aSettings.mPeer.mPort,     aSettings.mCapacity };
   for (const http::Endpoint& it : aSettings.mSeeds) {
     settings.mSeeds.push_back({ it.mAddress, it.mPort });
   }
--- a/packages/entry/src/EntrySettings.h
+++ b/packages/entry/src/EntrySettings.h
@@ -3,6 +3,7 @@
 #include "base/Base.h"
 #include "carriage/Carriage.h"
 #include "http/Http.h"
+#include "membership/Membership.h"
 #include "placing/Placing.h"
 
 #include <map>
@@ -19,6 +20,8 @@
   base::RegionId mRegion;
   /** The region of each data centre. */
   std::map<base::DataCentreId, base::RegionId> mRegions;
+  /** What this host can carry. */
+  membership::HostCapacity mCapacity;
   /** Where clients send their requests. */
   http::Endpoint mFront;
   /** Where peers send their messages. */
--- a/packages/membership/src/Host.h
+++ b/packages/membership/src/Host.h
@@ -42,6 +42,18 @@
   }
 };
 
+/** Capacity of a network link, in Mbit/s. */
+using LinkRate = base::Quantity<struct LinkRateTag, std::uint32_t>;
+/** Processor time that a host has, in thousandths of a core. */
+using MilliCores = base::Quantity<struct MilliCoresTag, std::uint32_t>;
+
+/** What a host can carry; 0 where it is unknown. */
+struct HostCapacity
+{
+  LinkRate mLink;
+  MilliCores mProcessor;
+};
+
 /** One process on one host, as it describes itself. */
 struct HostIdentity
 {
@@ -52,6 +64,7 @@
   std::string mAddress;
   base::PortNumber mHttpPort;
   base::PortNumber mPeerPort;
+  HostCapacity mCapacity{};
 
   PeerAddress Peer() const { return { mAddress, mPeerPort }; }
 };
