Never send a long body anew that was not kept

Cause: reading of the diff. A straggling attempt of an idempotent request whose body exceeds the 1 MB that is kept would have been replaced by one that sends the kept part, for a chunked body as if it were the whole. Retries were guarded against this, the replacement was not. Change: RequestLife knows that the body is passed on and keeps the attempt. Test: AttemptWithABodyThatIsNotKeptIsNeverReplaced.

--- a/packages/carriage/src/RequestLife.cpp
+++ b/packages/carriage/src/RequestLife.cpp
@@ -148,7 +148,7 @@
 
 bool RequestLife::MayReplaceAttempt() const
 {
-  return Is<Attempting>() && mTerms.mMayRepeat && !mIsReplaced &&
+  return Is<Attempting>() && mTerms.mMayRepeat && mIsBodyKept && !mIsReplaced &&
          mRuns + 1 < mTerms.mMaxAttempts;
 }
 
--- a/packages/carriage/src/RequestLife.h
+++ b/packages/carriage/src/RequestLife.h
@@ -48,6 +48,9 @@
 
   /** The request was read far enough to be sent. */
   LifeActions OnReadable();
+  /** Parts of its body are passed on that aren't kept, so that no other attempt
+   * can send it whole. */
+  void OnBodyPassedOn() { mIsBodyKept = false; }
   /** The request is refused without a search for an upstream. */
   LifeActions OnRefused(Reason aReason, base::Duration aRetryAfter);
   /** Answers Seek: an upstream was found and the request goes there. */
@@ -112,6 +115,7 @@
   std::uint32_t mRejections = 0;
   bool mMayHaveRun = false;
   bool mIsReplaced = false;
+  bool mIsBodyKept = true;
   /** Whether the last rejection came from an upstream with a free slot. */
   bool mHadRoom = false;
 };
--- a/packages/carriage/test/RequestLifeTest.cpp
+++ b/packages/carriage/test/RequestLifeTest.cpp
@@ -199,6 +199,17 @@
   CHECK_TRUE(std::holds_alternative<Relay>(actions.at(0)));
 }
 
+// Guards against a second attempt that sends the kept part of a long body for
+// the whole.
+TEST(RequestLife, AttemptWithABodyThatIsNotKeptIsNeverReplaced)
+{
+  RequestLife life({ true, 3 });
+  life.OnBodyPassedOn();
+  (void)life.OnReadable();
+  life.OnPlaced();
+  CHECK_FALSE(life.MayReplaceAttempt());
+}
+
 TEST(RequestLife, RepeatAfterAnUnreachableUpstreamNeedsNoBudget)
 {
   RequestLife life({ true, 2 });
--- a/packages/entry/src/Carrier.cpp
+++ b/packages/entry/src/Carrier.cpp
@@ -173,6 +173,7 @@
   mBody += aPart;
   if (mBody.size() > kMaxKeptBody) {
     mIsBodyStreaming = true;
+    mLife->OnBodyPassedOn();
     Execute(mLife->OnReadable());
   }
 }
