--- a/soak/src/Schedule.cpp
+++ b/soak/src/Schedule.cpp
@@ -46,7 +46,7 @@
 
 const char* KindName(FaultKind aKind)
 {
-  static constexpr std::array sNames = { "stop_host",
+  static constexpr std::array kNames = { "stop_host",
                                          "publish_version",
                                          "drain_upstream",
                                          "evacuate",
@@ -62,7 +62,7 @@
                                          "crash_upstream",
                                          "lose_responses",
                                          "shed_requests" };
-  return sNames[static_cast<std::size_t>(aKind)];
+  return kNames[static_cast<std::size_t>(aKind)];
 }
 
 bool IsPlanned(FaultKind aKind)
