--- a/packages/entry/src/Carrier.cpp
+++ b/packages/entry/src/Carrier.cpp
@@ -58,7 +58,7 @@
   }
   void operator()(const carriage::CancelAttempt& /*aAction*/) const
   {
-    mCarrier.CancelAttempt();
+    mCarrier.CancelAttempt(Outcome::Abandoned);
   }
 };
 
--- a/packages/entry/src/Carrier.h
+++ b/packages/entry/src/Carrier.h
@@ -68,12 +68,15 @@
   void EndAttempt(placing::Outcome aOutcome);
   void Relay();
   void SendFailure(carriage::Reason aReason);
-  void CancelAttempt();
+  /** Ends the attempt under way; its upstream is to stop the work. */
+  void CancelAttempt(placing::Outcome aOutcome);
   /** Learns from a failure whether the upstream has crashed. */
   void WatchForCrash(const http::Failure& aFailure);
   void WatchForStraggling();
   /** Sends the request anew if its attempt takes too long. */
   void OnStraggling();
+  /** Logs that the attempt is given up while its upstream may be at work. */
+  void LogCancelled(placing::Outcome aOutcome);
   /** Logs that the attempt is given up for a new one. */
   void LogStraggler(const base::UpstreamId& aTo);
   void LogEnd(std::string_view aOutcome, int aStatus);
--- a/packages/entry/src/CarrierAnswers.cpp
+++ b/packages/entry/src/CarrierAnswers.cpp
@@ -124,6 +124,26 @@
                            { { "outcome", std::string(aOutcome) } });
 }
 
+void Carrier::LogCancelled(placing::Outcome aOutcome)
+{
+  const bool isStraggler = aOutcome == placing::Outcome::Overtaken;
+  const std::string_view reason = isStraggler             ? "straggler"
+                                  : mExchange->IsClosed() ? "client_gone"
+                                                          : "time_up";
+  const auto unacknowledged = mAttempt->Exchange().UnacknowledgedBytes();
+  base::LogInfo(base::LogLine("attempt_cancelled")
+                  .With("id", mFacts.mId)
+                  .With("upstream", mAttempt->Place().mUpstream)
+                  .With("reason", reason)
+                  .With("ms", Milliseconds(mAttempt->Elapsed()))
+                  .With("unacknowledged", unacknowledged));
+  mServices.mMetrics.Count(
+    "auburnmux_attempts_cancelled_total",
+    { { "reason", std::string(reason) },
+      { "unacknowledged",
+        unacknowledged > base::ByteCount(0) ? "some" : "none" } });
+}
+
 void Carrier::LogStraggler(const base::UpstreamId& aTo)
 {
   base::LogInfo(
--- a/packages/entry/src/CarrierAttempts.cpp
+++ b/packages/entry/src/CarrierAttempts.cpp
@@ -71,8 +71,7 @@
     return;
   }
   LogStraggler(place->mUpstream);
-  EndAttempt(Outcome::Overtaken);
-  mAttempt->Cancel();
+  CancelAttempt(Outcome::Overtaken);
   mLife->OnAttemptReplaced();
   Send(*place);
 }
@@ -207,9 +206,10 @@
   }
 }
 
-void Carrier::CancelAttempt()
+void Carrier::CancelAttempt(Outcome aOutcome)
 {
-  EndAttempt(Outcome::Abandoned);
+  EndAttempt(aOutcome);
+  LogCancelled(aOutcome);
   mAttempt->Cancel();
 }
 
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -21,6 +21,10 @@
 /** How often due checks, lapsed upstreams and the stop are looked at. */
 constexpr base::Duration kTick = std::chrono::milliseconds(100);
 
+/** Lateness of the loop that is logged: a fifth of the time in which work for
+ * callers that have left has to end. */
+constexpr base::Duration kLateLoop = std::chrono::milliseconds(100);
+
 /** How often the hosts that share bounds are counted anew. */
 constexpr base::Duration kCountPeriod = std::chrono::seconds(1);
 
@@ -69,6 +73,8 @@
   Impl(http::Loop& aLoop, EntrySettings aSettings,
        const Translator& aTranslator);
 
+  /** Records how late this host gets to its events. */
+  void NoteLateness();
   void OnTick();
   void OnRequest(const std::shared_ptr<http::ServerExchange>& aExchange);
   void OnMessage(const protocol::Envelope& aEnvelope);
@@ -255,8 +261,23 @@
   }
 }
 
+void EntryNode::Impl::NoteLateness()
+{
+  const base::Duration late = mLoop.Lateness();
+  mMetrics.Observe("auburnmux_loop_late_seconds", {}, mLoop.Now(), late);
+  if (late >= kLateLoop) {
+    base::LogWarning(
+      base::LogLine("loop_late")
+        .With(
+          "ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(late).count())
+        .With("open_requests", mServices.mOpenRequests));
+  }
+}
+
 void EntryNode::Impl::OnTick()
 {
+  NoteLateness();
   Apply(mBook.OnTick(mLoop.Now()));
   mChecks.OnTick();
   if (!mStopBegin) {
--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -62,6 +62,9 @@
   virtual std::optional<base::Duration> ConnectTime() const = 0;
   /** \returns bytes given to SendBody() and not yet handed to the socket. */
   virtual base::ByteCount PendingBytes() const = 0;
+  /** \returns bytes of the request that the other side's kernel has not
+   * acknowledged. */
+  virtual base::ByteCount UnacknowledgedBytes() const = 0;
   /** Sends a part of the body. \pre the request has a body */
   virtual void SendBody(std::string_view aPart) = 0;
   /** Ends a body that is sent in chunks; ignored for others. */
--- a/packages/http/src/ClientConnection.cpp
+++ b/packages/http/src/ClientConnection.cpp
@@ -28,6 +28,11 @@
   return base::ByteCount(mLink ? mLink->Pending() : 0);
 }
 
+base::ByteCount ClientConnection::UnacknowledgedBytes() const
+{
+  return base::ByteCount(mLink ? mLink->Unacknowledged() : 0);
+}
+
 void ClientConnection::SendBody(std::string_view aPart)
 {
   if (!mLink || aPart.empty()) {
--- a/packages/http/src/ClientConnection.h
+++ b/packages/http/src/ClientConnection.h
@@ -27,6 +27,7 @@
     return mConnectTime;
   }
   base::ByteCount PendingBytes() const override;
+  base::ByteCount UnacknowledgedBytes() const override;
   void SendBody(std::string_view aPart) override;
   void EndBody() override;
   void PauseReading(bool aIsPaused) override;
@@ -103,6 +104,7 @@
   // For the exchange.
   void Queue(std::string_view aBytes) { mStream.Queue(aBytes); }
   std::size_t Pending() const { return mStream.Pending(); }
+  std::size_t Unacknowledged() const { return mStream.Unacknowledged(); }
   void FlushSoon();
   void ReadSoon();
 
--- a/packages/http/src/Loop.cpp
+++ b/packages/http/src/Loop.cpp
@@ -45,12 +45,17 @@
   // without a pause; a timer descriptor wakes up on time.
   int mTimerDescriptor = -1;
   std::optional<base::TimePoint> mArmed;
+  base::Duration mTimerDelay{};
+  /** Since when each turn leaves ready sockets to the next one. */
+  std::optional<base::TimePoint> mBehindSince;
   int mEpoll = -1;
   std::uint32_t mLastGeneration = 0;
   std::unordered_map<int, internal::ObservedSocket> mSockets;
   std::vector<Task> mPosted;
 
+  static base::TimePoint Now();
   void Arm();
+  void NoteBacklog(bool aIsBehind);
   void OnSockets();
   void RunPosted();
   void OnTimer(base::TimePoint aNow);
@@ -103,16 +108,28 @@
 {
   std::uint64_t n = 0;
   (void)!read(mTimerDescriptor, &n, sizeof n);
+  const auto due = mTimers.NextDue();
+  mTimerDelay = due && *due < aNow ? aNow - *due : base::Duration::zero();
   mArmed.reset();
   mTimers.RunDue(aNow);
   Arm();
 }
 
+void Loop::Impl::NoteBacklog(bool aIsBehind)
+{
+  if (!aIsBehind) {
+    mBehindSince.reset();
+  } else if (!mBehindSince) {
+    mBehindSince = Now();
+  }
+}
+
 void Loop::Impl::OnSockets()
 {
   std::array<epoll_event, kTurnSockets> events{};
   const int n =
     epoll_wait(mEpoll, events.data(), static_cast<int>(events.size()), 0);
+  NoteBacklog(n == static_cast<int>(events.size()));
   for (int i = 0; i < n; ++i) {
     const epoll_event& event = events[static_cast<std::size_t>(i)];
     const auto it = mSockets.find(static_cast<int>(event.data.u64 >> 32U));
@@ -180,12 +197,24 @@
   close(mImpl->mEpoll);
 }
 
-base::TimePoint Loop::Now() const
+base::TimePoint Loop::Impl::Now()
 {
   const auto now = std::chrono::steady_clock::now().time_since_epoch();
   return base::TimePoint(std::chrono::duration_cast<base::Duration>(now));
 }
 
+base::TimePoint Loop::Now() const
+{
+  return Impl::Now();
+}
+
+base::Duration Loop::Lateness() const
+{
+  const auto behind =
+    mImpl->mBehindSince ? Now() - *mImpl->mBehindSince : base::Duration::zero();
+  return std::max(mImpl->mTimerDelay, behind);
+}
+
 base::WallTime Loop::WallNow()
 {
   return std::chrono::time_point_cast<std::chrono::milliseconds>(
--- a/packages/http/src/Loop.h
+++ b/packages/http/src/Loop.h
@@ -45,6 +45,10 @@
 
   /** \returns the monotonic time now. */
   base::TimePoint Now() const;
+  /** \returns how late the process gets to its events: the delay of the timers
+   * that ran last, or the time for which there were always more ready sockets
+   * than one turn serves. */
+  base::Duration Lateness() const;
   /** \returns the wall clock time now. */
   static base::WallTime WallNow();
 
--- a/packages/http/src/TcpStream.cpp
+++ b/packages/http/src/TcpStream.cpp
@@ -4,7 +4,9 @@
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -142,6 +144,15 @@
   return true;
 }
 
+std::size_t TcpStream::Unacknowledged() const
+{
+  int n = 0;
+  if (mDescriptor < 0 || ioctl(mDescriptor, SIOCOUTQ, &n) != 0) {
+    return Pending();
+  }
+  return Pending() + static_cast<std::size_t>(n);
+}
+
 void TcpStream::CloseForSending()
 {
   shutdown(mDescriptor, SHUT_WR);
--- a/packages/http/src/TcpStream.h
+++ b/packages/http/src/TcpStream.h
@@ -72,6 +72,9 @@
   bool Flush();
   /** \returns bytes queued and not yet handed to the kernel. */
   std::size_t Pending() const { return mOut.size() - mOutStart; }
+  /** \returns bytes that the other side's kernel has not acknowledged, those
+   * that are queued here included. */
+  std::size_t Unacknowledged() const;
   /** \returns whether any byte was handed to the kernel since MarkUnsent(). */
   bool HasSent() const { return mHasSent; }
   void MarkUnsent() { mHasSent = false; }
--- /dev/null
+++ b/packages/http/test/LoopTest.cpp
@@ -0,0 +1,26 @@
+#include "http/Http.h"
+
+#include "base/test/support/Property.h"
+
+#include <thread>
+
+using namespace auburnmux;
+using http::Loop;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Loop)
+{
+  Loop mLoop;
+};
+
+TEST(Loop, TellsHowLateItsTimersRun)
+{
+  base::Duration late{};
+  mLoop.After(1ms, [this, &late] {
+    late = mLoop.Lateness();
+    mLoop.Stop();
+  });
+  mLoop.Post([] { std::this_thread::sleep_for(40ms); });
+  mLoop.Run();
+  CHECK_TRUE(late >= 30ms);
+}
