Serve connections that ended before other events and late timers

Callers that had left: their requests were still sent, and work for them was cancelled late, by a host that was paused or short of processor time.

Cause: the loop fetched the readiness of 128 sockets and served them in the order in which they had become ready, however long that took; timers that were overdue (queued requests that are placed anew, stragglers that are sent again) ran before it looked at any socket. Each acted on what was true before. The class: a decision on a stale observation.

Change: what is ready is fetched at the start of each turn, and connections that ended are served at once; the rest waits in a queue and is served for at most 10 ms before the loop looks again. A timer that is later than that looks first.

--- a/packages/http/src/Loop.cpp
+++ b/packages/http/src/Loop.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cassert>
 #include <chrono>
+#include <deque>
 #include <libwebsockets.h>
 #include <sys/epoll.h>
 #include <sys/timerfd.h>
@@ -30,6 +31,14 @@
   std::uint32_t mGeneration = 0;
 };
 
+/** A change of readiness that waits to be served. */
+struct ReadySocket
+{
+  int mDescriptor = -1;
+  std::uint32_t mGeneration = 0;
+  SocketReadiness mReadiness;
+};
+
 } // namespace internal
 
 struct Loop::Impl
@@ -48,23 +57,48 @@
   base::Duration mTimerDelay{};
   /** Since when each turn leaves ready sockets to the next one. */
   std::optional<base::TimePoint> mBehindSince;
+  bool mIsTurnDue = false;
   int mEpoll = -1;
   std::uint32_t mLastGeneration = 0;
   std::unordered_map<int, internal::ObservedSocket> mSockets;
+  std::deque<internal::ReadySocket> mReady;
+  /** When the readiness of the sockets was last fetched. */
+  base::TimePoint mPolled;
   std::vector<Task> mPosted;
 
   static base::TimePoint Now();
   void Arm();
-  void NoteBacklog(bool aIsBehind);
+  void Serve(const internal::ReadySocket& aReady);
+  /** Fetches what is ready; connections that ended are served at once. */
+  void PollSockets();
   void OnSockets();
+  /** Continues in the next turn if sockets are left. */
+  void NoteBacklog();
   void RunPosted();
   void OnTimer(base::TimePoint aNow);
 };
 
 namespace {
 
-// Sockets served in one turn, so that timers get theirs in between.
-constexpr std::size_t kTurnSockets = 128;
+// Time for which sockets are served in one turn. Then timers get theirs, and
+// what was found ready is no longer taken for the present state.
+constexpr base::Duration kTurnTime = std::chrono::milliseconds(10);
+
+// Events fetched in one call.
+constexpr std::size_t kPolledSockets = 256;
+
+internal::ReadySocket ToReadySocket(const epoll_event& aEvent)
+{
+  internal::ReadySocket ready;
+  ready.mDescriptor = static_cast<int>(aEvent.data.u64 >> 32U);
+  ready.mGeneration = static_cast<std::uint32_t>(aEvent.data.u64);
+  ready.mReadiness.mIsHungUp =
+    (aEvent.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+  ready.mReadiness.mIsReadable =
+    (aEvent.events & EPOLLIN) != 0 || ready.mReadiness.mIsHungUp;
+  ready.mReadiness.mIsWritable = (aEvent.events & EPOLLOUT) != 0;
+  return ready;
+}
 
 int OnWatchEvent(lws* aWsi, lws_callback_reasons aReason, void* /*aUser*/,
                  void* /*aIn*/, std::size_t /*aLength*/)
@@ -111,38 +145,70 @@
   const auto due = mTimers.NextDue();
   mTimerDelay = due && *due < aNow ? aNow - *due : base::Duration::zero();
   mArmed.reset();
+  if (mTimerDelay > kTurnTime) {
+    // What a late timer acts on must not be older than it.
+    PollSockets();
+    NoteBacklog();
+  }
   mTimers.RunDue(aNow);
   Arm();
 }
 
-void Loop::Impl::NoteBacklog(bool aIsBehind)
+void Loop::Impl::Serve(const internal::ReadySocket& aReady)
 {
-  if (!aIsBehind) {
-    mBehindSince.reset();
-  } else if (!mBehindSince) {
-    mBehindSince = Now();
+  const auto it = mSockets.find(aReady.mDescriptor);
+  // An earlier event may have released the socket.
+  if (it != mSockets.end() && it->second.mGeneration == aReady.mGeneration) {
+    it->second.mWatcher->OnReady(aReady.mReadiness);
   }
 }
 
-void Loop::Impl::OnSockets()
+void Loop::Impl::PollSockets()
 {
-  std::array<epoll_event, kTurnSockets> events{};
-  const int n =
-    epoll_wait(mEpoll, events.data(), static_cast<int>(events.size()), 0);
-  NoteBacklog(n == static_cast<int>(events.size()));
-  for (int i = 0; i < n; ++i) {
-    const epoll_event& event = events[static_cast<std::size_t>(i)];
-    const auto it = mSockets.find(static_cast<int>(event.data.u64 >> 32U));
-    // An earlier event of this turn may have released the socket.
-    if (it == mSockets.end() ||
-        it->second.mGeneration != static_cast<std::uint32_t>(event.data.u64)) {
-      continue;
+  mPolled = Now();
+  std::array<epoll_event, kPolledSockets> events{};
+  int n = 0;
+  do {
+    n = epoll_wait(mEpoll, events.data(), static_cast<int>(events.size()), 0);
+    for (int i = 0; i < n; ++i) {
+      const internal::ReadySocket ready =
+        ToReadySocket(events[static_cast<std::size_t>(i)]);
+      if (ready.mReadiness.mIsHungUp) {
+        Serve(ready);
+      } else {
+        mReady.push_back(ready);
+      }
     }
-    SocketReadiness ready;
-    ready.mIsHungUp = (event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
-    ready.mIsReadable = (event.events & EPOLLIN) != 0 || ready.mIsHungUp;
-    ready.mIsWritable = (event.events & EPOLLOUT) != 0;
-    it->second.mWatcher->OnReady(ready);
+  } while (n == static_cast<int>(events.size()));
+}
+
+void Loop::Impl::OnSockets()
+{
+  PollSockets();
+  while (!mReady.empty() && Now() - mPolled < kTurnTime) {
+    const internal::ReadySocket ready = mReady.front();
+    mReady.pop_front();
+    Serve(ready);
+  }
+  NoteBacklog();
+}
+
+void Loop::Impl::NoteBacklog()
+{
+  if (mReady.empty()) {
+    mBehindSince.reset();
+    return;
+  }
+  if (!mBehindSince) {
+    mBehindSince = mPolled;
+  }
+  if (!mIsTurnDue) {
+    mIsTurnDue = true;
+    mTimers.Add(Now(), base::Duration::zero(), [this] {
+      mIsTurnDue = false;
+      OnSockets();
+    });
+    Arm();
   }
 }
 
--- a/packages/http/src/Loop.h
+++ b/packages/http/src/Loop.h
@@ -64,7 +64,9 @@
 
   /**
    * Reports each change of readiness of \a aSocket once (edge-triggered) to
-   * \a aWatcher, until Release(). The socket stays the caller's.
+   * \a aWatcher, until Release(). The socket stays the caller's. Connections
+   * that ended are reported before any other change, and before timers that
+   * are late.
    */
   void Observe(int aSocket, SocketWatcher& aWatcher);
   /** Ends Observe(). To be called before the socket is closed. */
--- /dev/null
+++ b/packages/http/test/support/LoopbackSocket.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "base/Base.h"
+
+#include <arpa/inet.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace auburnmux::http {
+
+/** A blocking TCP socket on loopback, for what no HTTP library would do. */
+class LoopbackSocket
+{
+public:
+  /** \returns a listening socket. \param aReceiveBuffer bytes that its
+   * connections take before they are read; 0 for the system's default */
+  static LoopbackSocket Listen(base::PortNumber aPort, int aReceiveBuffer = 0)
+  {
+    LoopbackSocket it;
+    const int on = 1;
+    setsockopt(it.mDescriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (aReceiveBuffer > 0) {
+      setsockopt(it.mDescriptor, SOL_SOCKET, SO_RCVBUF, &aReceiveBuffer,
+                 sizeof aReceiveBuffer);
+    }
+    const sockaddr_in address = Address(aPort);
+    it.mIsOpen =
+      bind(it.mDescriptor, reinterpret_cast<const sockaddr*>(&address),
+           sizeof address) == 0 &&
+      listen(it.mDescriptor, 64) == 0;
+    return it;
+  }
+  static LoopbackSocket Connect(base::PortNumber aPort)
+  {
+    LoopbackSocket it;
+    const sockaddr_in address = Address(aPort);
+    it.mIsOpen =
+      connect(it.mDescriptor, reinterpret_cast<const sockaddr*>(&address),
+              sizeof address) == 0;
+    return it;
+  }
+
+  ~LoopbackSocket() { Close(); }
+  LoopbackSocket(LoopbackSocket&& aOther) noexcept
+    : mDescriptor(std::exchange(aOther.mDescriptor, -1))
+    , mIsOpen(std::exchange(aOther.mIsOpen, false))
+  {
+  }
+  LoopbackSocket(const LoopbackSocket&) = delete;
+  LoopbackSocket& operator=(const LoopbackSocket&) = delete;
+  LoopbackSocket& operator=(LoopbackSocket&&) = delete;
+
+  bool IsOpen() const { return mIsOpen; }
+  LoopbackSocket Accept() const
+  {
+    return LoopbackSocket(accept(mDescriptor, nullptr, nullptr));
+  }
+  void Send(const std::string& aBytes) const
+  {
+    (void)!send(mDescriptor, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+  }
+  /** \returns what arrives until the connection ends, and whether it ended in
+   * order instead of with a reset. */
+  std::pair<std::string, bool> ReadToEnd() const
+  {
+    std::string received;
+    char buf[4096];
+    ssize_t n = 0;
+    while ((n = recv(mDescriptor, buf, sizeof buf, 0)) > 0) {
+      received.append(buf, static_cast<std::size_t>(n));
+    }
+    return { received, n == 0 };
+  }
+  void Close()
+  {
+    if (mDescriptor >= 0) {
+      close(std::exchange(mDescriptor, -1));
+    }
+    mIsOpen = false;
+  }
+
+private:
+  LoopbackSocket()
+    : LoopbackSocket(socket(AF_INET, SOCK_STREAM, 0))
+  {
+  }
+  explicit LoopbackSocket(int aDescriptor)
+    : mDescriptor(aDescriptor)
+    , mIsOpen(aDescriptor >= 0)
+  {
+  }
+
+  static sockaddr_in Address(base::PortNumber aPort)
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(aPort.Count());
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    return address;
+  }
+
+  int mDescriptor;
+  bool mIsOpen;
+};
+
+} // namespace auburnmux::http
