Discard what is left of a cancelled request instead of delivering it later

Callers that had left: their requests still reached an upstream whole.

Cause: an attempt that is given up was closed in order, and the kernel goes on delivering the bytes it holds, with retransmissions and behind a full window, before the end of the connection. The class: an ordinary close taken for a cancellation.

Change: a client connection that is closed with unacknowledged bytes is reset, which drops them here and ends the request there. If all was acknowledged it is closed in order, because the end of a stream is sent again when it is lost and a reset is not. The same client serves both compositions, the store and checks.

Evidence: CancelledRequest.IsNotDeliveredLater failed before: all 60,000 bytes arrived after the cancellation, in order.

--- a/packages/http/src/ClientLink.cpp
+++ b/packages/http/src/ClientLink.cpp
@@ -114,7 +114,7 @@
   const auto self = shared_from_this();
   StopConnectTimer();
   if (mStream.IsOpen()) {
-    mStream.Close();
+    mStream.CloseDiscarding();
     mOwner.OnLinkClosed(*this);
   }
   return std::exchange(mExchange, nullptr);
--- a/packages/http/src/TcpStream.cpp
+++ b/packages/http/src/TcpStream.cpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
+#include <cstring>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -147,8 +148,9 @@
 std::size_t TcpStream::Unacknowledged() const
 {
   int n = 0;
-  if (mDescriptor < 0 || ioctl(mDescriptor, SIOCOUTQ, &n) != 0) {
-    return Pending();
+  if (mDescriptor >= 0 && ioctl(mDescriptor, SIOCOUTQ, &n) != 0) {
+    base::LogWarning(base::LogLine("unacknowledged_unknown")
+                       .With("error", std::strerror(errno)));
   }
   return Pending() + static_cast<std::size_t>(n);
 }
@@ -158,6 +160,15 @@
   shutdown(mDescriptor, SHUT_WR);
 }
 
+void TcpStream::CloseDiscarding()
+{
+  if (Unacknowledged() > 0) {
+    const linger discard{ 1, 0 };
+    setsockopt(mDescriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+  }
+  Close();
+}
+
 void TcpStream::Close()
 {
   if (mDescriptor >= 0) {
--- a/packages/http/src/TcpStream.h
+++ b/packages/http/src/TcpStream.h
@@ -81,6 +81,9 @@
   /** Tells the other side that nothing more is sent. */
   void CloseForSending();
   void Close();
+  /** Closes at once; what the other side has not acknowledged is discarded
+   * instead of being delivered later. */
+  void CloseDiscarding();
 
 private:
   Loop& mLoop;
