Read the last chunk of a message when it comes in pieces

Callers would have seen a host end: any of them, or an upstream, that sends the last chunk of a body so that its first bytes arrive alone ends the process.

Cause: Beast's parser asserts that it is not called again with fewer than five bytes once it has seen the size of the last chunk; the connection called it again with the same three, also without new bytes.

Change: the reader waits until there are more bytes than it could not use, and as many as the shortest last chunk has.

Test: Http.LastChunkInPiecesEndsTheRequest; before, the program ended with Assertion n >= 5 failed in parse_chunk_header.

--- a/packages/http/src/MessageReader.cpp
+++ b/packages/http/src/MessageReader.cpp
@@ -24,6 +24,12 @@
   return out;
 }
 
+/**
+ * Shortest rest of a message that begins with a chunk's size: the last chunk.
+ * Beast's parser must not be called again with less.
+ */
+constexpr std::size_t kShortestChunks = std::string_view("0\r\n\r\n").size();
+
 /** Collects the fields and hands on the body of one message. */
 template<bool IsRequest>
 class CollectingParser : public basic_parser<IsRequest>
@@ -38,6 +44,9 @@
 
   ReadStep Advance(std::string_view aBytes, BodySink& aSink)
   {
+    if (MustWait(aBytes.size())) {
+      return {};
+    }
     mSink = &aSink;
     const bool hadHead = this->is_header_done();
     this->eager(hadHead);
@@ -48,6 +57,9 @@
         this->put(boost::asio::buffer(aBytes.data(), aBytes.size()), error);
     }
     step.mState = StateAfter(error, hadHead);
+    const bool isHeldUp =
+      step.mState == ReadState::NeedsMore && step.mConsumed == 0;
+    mUnused = isHeldUp ? aBytes.size() : 0;
     return step;
   }
 
@@ -71,6 +83,12 @@
   Headers mHeaders;
 
 private:
+  /** \returns whether the bytes are no more than what could not be used. */
+  bool MustWait(std::size_t aSize) const
+  {
+    return mUnused > 0 && (aSize <= mUnused || aSize < kShortestChunks);
+  }
+
   ReadState StateAfter(const ErrorCode& aError, bool aHadHead) const
   {
     if (aError == beast::http::error::header_limit) {
@@ -128,6 +146,8 @@
   void on_finish_impl(ErrorCode& /*aError*/) override {}
   // NOLINTEND(readability-identifier-naming)
 
+  /** Bytes that the last call could not use. */
+  std::size_t mUnused = 0;
   BodySink* mSink = nullptr;
 };
 
--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -1,4 +1,5 @@
 #include "http/Http.h"
+#include "http/test/support/LoopbackSocket.h"
 
 #include "base/test/support/Property.h"
 
@@ -10,6 +11,7 @@
 using namespace auburnmux;
 using http::FetchResult;
 using http::Loop;
+using http::LoopbackSocket;
 using http::ServerExchange;
 
 namespace {
@@ -426,6 +428,21 @@
 }
 
 // Guards against end-to-end fields that are dropped on the way.
+TEST(Http, LastChunkInPiecesEndsTheRequest)
+{
+  const base::PortNumber port(19236);
+  const auto server = Echo(port);
+  const auto caller = LoopbackSocket::Connect(port);
+  caller.Send("PUT /echo HTTP/1.1\r\nhost: h\r\nconnection: close\r\n"
+              "transfer-encoding: chunked\r\n\r\n");
+  for (const char* it : { "0\r\n", "\r", "\n" }) {
+    caller.Send(it);
+    mLoop.After(std::chrono::milliseconds(20), [this] { mLoop.Stop(); });
+    mLoop.Run();
+  }
+  STRCMP_CONTAINS("HTTP/1.1 200", caller.ReadToEnd().first.c_str());
+}
+
 TEST(Http, UnknownFieldsAndTargetsArriveUnchanged)
 {
   const base::PortNumber port(19222);
--- a/packages/http/test/support/LoopbackSocket.h
+++ b/packages/http/test/support/LoopbackSocket.h
@@ -57,9 +57,11 @@
   {
     return LoopbackSocket(accept(mDescriptor, nullptr, nullptr));
   }
-  void Send(const std::string& aBytes) const
+  /** \returns whether the connection took all of it. */
+  bool Send(const std::string& aBytes) const
   {
-    (void)!send(mDescriptor, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+    return send(mDescriptor, aBytes.data(), aBytes.size(), MSG_NOSIGNAL) ==
+           static_cast<ssize_t>(aBytes.size());
   }
   /** \returns what arrives until the connection ends, and whether it ended in
    * order instead of with a reset. */
