Bound the bytes of an upstream that are no answer

Users: bytes that are no answer may come without end, in a head or a body, until the caller closes.

Cause: heads, kept bodies and fetched bodies were bounded. Not bounded were interim responses, bodies of responses to other requests (both read until the request's time was up), and a chunk's size or trailer without an end of line, whose bytes were kept all the while: 32 MB in the test, one connection.

Change: a chunk's size and a trailer may be as long as a head; a megabyte of responses that are not the awaited one breaks the connection. Bodies of the awaited response stay bounded by the request's time and by what may wait for the caller.

--- a/packages/http/src/ClientConnection.h
+++ b/packages/http/src/ClientConnection.h
@@ -119,6 +119,8 @@
   void BeginResponse();
   void HandleHead();
   void HandleEnd();
+  /** \returns whether the response that is read is not the awaited one. */
+  bool IsSkipping() const { return mIsInterim || mIsForeign; }
   void CompleteResponse();
   void Fail(FailureKind aKind);
   void StopConnectTimer();
@@ -133,6 +135,7 @@
   std::unique_ptr<ResponseReader> mReader;
   std::string mIn;
   std::size_t mInStart = 0;
+  std::size_t mSkipped = 0;
   base::TimePoint mConnectBegin;
   base::TimePoint mIdleSince;
   base::Duration mIdleLimit;
--- a/packages/http/src/ClientLink.cpp
+++ b/packages/http/src/ClientLink.cpp
@@ -14,6 +14,10 @@
 
 constexpr int kFirstFinalStatus = 200;
 
+// Bytes of interim responses, and of responses to other requests, that are
+// skipped while a response is waited for.
+constexpr std::size_t kMaxSkipped = std::size_t{ 1 } << 20U;
+
 /** \returns the head of \a aRequest as it goes on the wire. */
 std::string WriteHead(const ClientRequest& aRequest)
 {
@@ -94,6 +98,7 @@
   assert(!mExchange);
   mExchange = aExchange;
   mExchange->Attach(shared_from_this());
+  mSkipped = 0;
   BeginResponse();
   mStream.MarkUnsent();
   mStream.Queue(WriteHead(aExchange->Request()));
@@ -253,9 +258,18 @@
   if (!mExchange) {
     return false; // cancelled by the observer
   }
+  if (step.mState == ReadState::HeadDone) {
+    HandleHead();
+  }
+  if (mExchange && IsSkipping()) {
+    mSkipped += step.mConsumed;
+    if (mSkipped > kMaxSkipped) {
+      Fail(FailureKind::Malformed);
+      return false;
+    }
+  }
   switch (step.mState) {
     case ReadState::HeadDone:
-      HandleHead();
       return true;
     case ReadState::Complete:
       CompleteResponse();
@@ -324,7 +338,7 @@
 
 void ClientLink::CompleteResponse()
 {
-  if (mIsInterim || mIsForeign) {
+  if (IsSkipping()) {
     BeginResponse();
     return;
   }
--- a/packages/http/src/MessageReader.cpp
+++ b/packages/http/src/MessageReader.cpp
@@ -36,6 +36,7 @@
 {
 public:
   explicit CollectingParser(base::ByteCount aMaxHead)
+    : mMaxHead(aMaxHead)
   {
     this->header_limit(static_cast<std::uint32_t>(std::min<std::uint64_t>(
       aMaxHead.Count(), std::numeric_limits<std::uint32_t>::max())));
@@ -60,6 +61,9 @@
     const bool isHeldUp =
       step.mState == ReadState::NeedsMore && step.mConsumed == 0;
     mUnused = isHeldUp ? aBytes.size() : 0;
+    if (hadHead && mUnused > mMaxHead.Count()) {
+      step.mState = ReadState::Malformed; // a chunk's size or trailer
+    }
     return step;
   }
 
@@ -146,6 +150,7 @@
   void on_finish_impl(ErrorCode& /*aError*/) override {}
   // NOLINTEND(readability-identifier-naming)
 
+  base::ByteCount mMaxHead;
   /** Bytes that the last call could not use. */
   std::size_t mUnused = 0;
   BodySink* mSink = nullptr;
