Let callers of the soak leave, and check that work for them ends

Now 15 in 100 leave within 0.4 s, one piece of work in a hundred takes 0.6 to 1.8 s, and two promises are checked: no work begins more than 0.5 s after its caller left, also on a host that was paused, and work under way ends within 0.5 s while no fault is near.

--- a/soak/src/Ledger.cpp
+++ b/soak/src/Ledger.cpp
@@ -13,6 +13,9 @@
 constexpr base::Duration kEvacuation = std::chrono::milliseconds(5000);
 constexpr base::Duration kVersionInForce = std::chrono::milliseconds(2500);
 
+/** Time within which work for a caller that has left has to end. */
+constexpr base::Duration kWorkAfterLeaving = std::chrono::milliseconds(500);
+
 constexpr int kOk = 200;
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
@@ -47,6 +50,11 @@
   if (!aMayRepeat && request.mIsRefused) {
     Report("refused_never_runs", who);
   }
+  const bool isLinkCalm = !mLinkFaultUntil || *mLinkFaultUntil + kCalm <= aNow;
+  if (mChecksTime && isLinkCalm && request.mLeft &&
+      aNow > *request.mLeft + kWorkAfterLeaving) {
+    Report("no_work_begins_for_callers_that_left", who);
+  }
   const auto leaving = mLeaving.find(aUpstream);
   if (mChecksTime && leaving != mLeaving.end() &&
       aNow > leaving->second + kDrain && IsCalmSince(leaving->second)) {
@@ -82,6 +90,21 @@
   }
 }
 
+void Ledger::OnCallerLeft(base::TimePoint aNow, const std::string& aId)
+{
+  mRequests[aId].mLeft = aNow;
+}
+
+void Ledger::OnWorkDone(base::TimePoint aNow, const std::string& aId)
+{
+  const Request& request = mRequests[aId];
+  if (mChecksTime && request.mLeft &&
+      aNow > *request.mLeft + kWorkAfterLeaving &&
+      IsCalmSince(*request.mLeft)) {
+    Report("work_ends_for_callers_that_left", "id=" + aId);
+  }
+}
+
 void Ledger::OnLeaving(base::TimePoint aNow, const std::string& aUpstream)
 {
   mLeaving[aUpstream] = aNow;
@@ -127,6 +150,11 @@
   mDisturbedUntil = std::max(mDisturbedUntil.value_or(aUntil), aUntil);
 }
 
+void Ledger::OnLinkFault(base::TimePoint aUntil)
+{
+  mLinkFaultUntil = std::max(mLinkFaultUntil.value_or(aUntil), aUntil);
+}
+
 void Ledger::OnUnexpectedEnd(const std::string& aProcess, int aCode)
 {
   Report("processes_stay",
--- a/soak/src/Ledger.h
+++ b/soak/src/Ledger.h
@@ -35,6 +35,10 @@
   void OnRun(base::TimePoint aNow, const std::string& aId, bool aMayRepeat,
              const std::string& aUpstream, const std::string& aCentre);
   void OnAnswer(base::TimePoint aNow, const Answer& aAnswer);
+  /** The caller closed its connection before it had an answer. */
+  void OnCallerLeft(base::TimePoint aNow, const std::string& aId);
+  /** An upstream has done the work of a request that nobody cancelled. */
+  void OnWorkDone(base::TimePoint aNow, const std::string& aId);
   /** The upstream announced its leaving. */
   void OnLeaving(base::TimePoint aNow, const std::string& aUpstream);
   void OnEvacuation(base::TimePoint aNow, const std::string& aCentre,
@@ -47,6 +51,8 @@
                       int aVersion, bool aIsKnown);
   /** A fault is going on until \a aUntil. */
   void OnDisturbance(base::TimePoint aUntil);
+  /** A fault of a link to an upstream is going on until \a aUntil. */
+  void OnLinkFault(base::TimePoint aUntil);
   /** A process ended that was not told to. */
   void OnUnexpectedEnd(const std::string& aProcess, int aCode);
 
@@ -60,6 +66,7 @@
   {
     int mRuns = 0;
     bool mIsRefused = false;
+    std::optional<base::TimePoint> mLeft;
   };
 
   /** \returns whether nothing but planned work happened since \a aSince. */
@@ -73,6 +80,7 @@
   std::map<int, base::TimePoint> mVersions;
   std::map<std::string, int> mKnownVersion;
   std::optional<base::TimePoint> mDisturbedUntil;
+  std::optional<base::TimePoint> mLinkFaultUntil;
   std::vector<std::string> mBreaches;
   std::size_t mAnswers = 0;
   std::size_t mSuccesses = 0;
--- a/soak/src/Soak.cpp
+++ b/soak/src/Soak.cpp
@@ -166,22 +166,45 @@
       return aHost->Front() == request.mEndpoint;
     });
   ++mOpen;
-  http::Fetch(mLoop, mClient, request, mayRepeat ? "" : "issue " + id,
-              kDeadline + milliseconds(500),
-              [this, id, mayRepeat,
-               host = host->get()](const http::FetchResult& aResult) {
-                --mOpen;
-                Answer answer;
-                answer.mId = id;
-                answer.mMayRepeat = mayRepeat;
-                answer.mStatus = aResult.mFailure ? 0 : aResult.mHead.mStatus;
-                answer.mIsOwn =
-                  aResult.mBody == BodyFor(id) &&
-                  aResult.mHead.mHeaders.Find("response-signature") ==
-                    std::string_view("sig-" + id);
-                answer.mWasHostStopping = host->IsStopping();
-                mLedger.OnAnswer(mLoop.Now(), answer);
-              });
+  const auto exchange =
+    http::Fetch(mLoop, mClient, request, mayRepeat ? "" : "issue " + id,
+                kDeadline + milliseconds(500),
+                [this, id, mayRepeat,
+                 host = host->get()](const http::FetchResult& aResult) {
+                  --mOpen;
+                  mLeavers.erase(id);
+                  Answer answer;
+                  answer.mId = id;
+                  answer.mMayRepeat = mayRepeat;
+                  answer.mStatus = aResult.mFailure ? 0 : aResult.mHead.mStatus;
+                  answer.mIsOwn =
+                    aResult.mBody == BodyFor(id) &&
+                    aResult.mHead.mHeaders.Find("response-signature") ==
+                      std::string_view("sig-" + id);
+                  answer.mWasHostStopping = host->IsStopping();
+                  mLedger.OnAnswer(mLoop.Now(), answer);
+                });
+  MaybeLeave(id, exchange);
+}
+
+void Soak::MaybeLeave(const std::string& aId,
+                      const std::shared_ptr<http::ClientExchange>& aExchange)
+{
+  constexpr int kLeavingPercent = 15;
+  constexpr int kLongestStayMs = 400;
+  if (mRandom.Below(100) >= kLeavingPercent) {
+    return;
+  }
+  mLeavers[aId] = aExchange;
+  mLoop.After(milliseconds(mRandom.Below(kLongestStayMs)), [this, aId] {
+    const auto it = mLeavers.find(aId);
+    if (it != mLeavers.end()) { // otherwise it has been answered
+      it->second->Cancel();
+      mLeavers.erase(it);
+      --mOpen;
+      mLedger.OnCallerLeft(mLoop.Now(), aId);
+    }
+  });
 }
 
 void Soak::ProbeVersion()
@@ -223,6 +246,7 @@
                       const json& aEnd, base::Duration aFor)
 {
   aLink.Configure(aFault);
+  mLedger.OnLinkFault(mLoop.Now() + aFor);
   mLoop.After(aFor, [&aLink, aEnd] { aLink.Configure(aEnd); });
 }
 
--- a/soak/src/Soak.h
+++ b/soak/src/Soak.h
@@ -6,6 +6,7 @@
 #include "soak/src/SoakUpstream.h"
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -59,6 +60,9 @@
   void CrashUpstream(SoakUpstream& aUpstream, base::Duration aFor);
   void WatchHosts();
   void SendRequest();
+  /** Some callers close their connection before they have an answer. */
+  void MaybeLeave(const std::string& aId,
+                  const std::shared_ptr<http::ClientExchange>& aExchange);
   void ProbeVersion();
   http::ClientRequest MakeRequest(const std::string& aId,
                                   const std::string& aPath);
@@ -72,6 +76,8 @@
   platform::StandInStore mStore;
   std::vector<std::unique_ptr<SoakHost>> mHosts;
   std::vector<std::unique_ptr<SoakUpstream>> mUpstreams;
+  /** Requests whose callers are about to leave. */
+  std::map<std::string, std::shared_ptr<http::ClientExchange>> mLeavers;
   int mVersion = 0;
   std::uint64_t mLastId = 0;
   int mLastUpstream = 0;
--- a/soak/src/SoakUpstream.cpp
+++ b/soak/src/SoakUpstream.cpp
@@ -14,6 +14,9 @@
 constexpr int kLeastWorkMs = 15;
 constexpr int kWorkSpreadMs = 30;
 constexpr int kStragglerMultiple = 7;
+/** Multiple that one percent take: longer than work may go on without its
+ * caller. */
+constexpr int kLongMultiple = 40;
 
 } // namespace
 
@@ -90,16 +93,21 @@
   const bool mayRepeat = aExchange->Head().mMethod == "GET";
   mLedger.OnRun(mLoop.Now(), aRequest, mayRepeat, mId, mPlace.mCentre);
   ++mRunning;
-  const bool isStraggler = mRandom.Below(100) < 3; // percent
+  const auto percent = mRandom.Below(100);
+  const int multiple = percent < 1   ? kLongMultiple
+                       : percent < 4 ? kStragglerMultiple
+                                     : 1;
   const milliseconds work(
-    (kLeastWorkMs + static_cast<int>(mRandom.Below(kWorkSpreadMs))) *
-    (isStraggler ? kStragglerMultiple : 1));
+    (kLeastWorkMs + static_cast<int>(mRandom.Below(kWorkSpreadMs))) * multiple);
   const bool isLost = mLoop.Now() < mLosesUntil && mRandom.Below(2) == 0;
   mLoop.After(work, [this, aExchange, aRequest, isLost, start = mStart] {
     if (start != mStart) {
       return;
     }
     --mRunning;
+    if (!aExchange->IsClosed()) {
+      mLedger.OnWorkDone(mLoop.Now(), aRequest);
+    }
     if (isLost) {
       aExchange->Abort();
       return;
--- a/soak/test/LedgerTest.cpp
+++ b/soak/test/LedgerTest.cpp
@@ -50,6 +50,30 @@
   CHECK_EQUAL(8U, ledger.Breaches().size()); // not in force
 }
 
+TEST(Soak, LedgerFindsWorkForCallersThatLeft)
+{
+  Ledger ledger(true);
+  ledger.OnCallerLeft(At(0), "a");
+  ledger.OnRun(At(400), "a", true, "u1", "c1");
+  CHECK_TRUE(ledger.Breaches().empty());
+  ledger.OnRun(At(600), "a", true, "u1", "c1");
+  CHECK_EQUAL(1U, ledger.Breaches().size()); // begins
+  ledger.OnWorkDone(At(400), "a");
+  CHECK_EQUAL(1U, ledger.Breaches().size());
+  ledger.OnWorkDone(At(600), "a");
+  CHECK_EQUAL(2U, ledger.Breaches().size()); // goes on
+  ledger.OnDisturbance(At(1000));
+  ledger.OnCallerLeft(At(1100), "b");
+  ledger.OnWorkDone(At(2000), "b");
+  CHECK_EQUAL(2U, ledger.Breaches().size());
+  ledger.OnRun(At(2000), "b", true, "u1", "c1");
+  CHECK_EQUAL(3U, ledger.Breaches().size()); // begins, also after a pause
+  ledger.OnLinkFault(At(2100));
+  ledger.OnCallerLeft(At(2200), "c");
+  ledger.OnRun(At(3000), "c", true, "u1", "c1");
+  CHECK_EQUAL(3U, ledger.Breaches().size());
+}
+
 TEST(Soak, FaultsSuspendOnlyThePromisesThatDependOnThem)
 {
   Ledger ledger(true);
