--- a/tests/process/UpstreamTest.cpp
+++ b/tests/process/UpstreamTest.cpp
@@ -152,6 +152,22 @@
     30s));
 }
 
+TEST(Upstreams, WorkEndsWhenItsCallerLeaves)
+{
+  FleetSettings settings;
+  settings.mMeanMs = 1500;
+  Fleet fleet(settings);
+  {
+    HttpProbe caller;
+    for (std::size_t i = 0; i < fleet.HostCount(); ++i) {
+      caller.Start(fleet.Check(i));
+    }
+    CHECK_TRUE(caller.Until([&] { return fleet.Sum("executed") >= 3; }));
+  }
+  CHECK_TRUE(fleet.Probe().Until(
+    [&] { return fleet.Sum("cancelled") == fleet.Sum("executed"); }));
+}
+
 // An upstream that says itself that it leaves must get no work after 2 s, and
 // what it runs must finish. The stand-in refuses and counts later work.
 TEST(Upstreams, DrainByOwnWord)
