--- a/packages/http/test/CancelledRequestTest.cpp
+++ b/packages/http/test/CancelledRequestTest.cpp
@@ -18,8 +18,8 @@
                                              const std::string& aBody)
   {
     const http::ClientRequest request{ { "127.0.0.1", aPort }, "PUT", "/" };
-    const auto exchange = http::Fetch(mLoop, mClient, request, aBody, 5s,
-                                      [](const http::FetchResult&) {});
+    auto exchange = http::Fetch(mLoop, mClient, request, aBody, 5s,
+                                [](const http::FetchResult&) {});
     while (!exchange->MayHaveReached()) {
       mLoop.RunOnce();
     }
