Log where a version came from, how old it is, and announced shutdowns

The log could not tell the hypotheses apart: a refused unknown route didn't say how old the configuration was that decided, config_in_force not where it came from, a failed probe of the store left no line at all, and the announcement of an upstream that it leaves was not read.

The response's fields are decoded once for each attempt. Nothing acts on them yet.

--- a/packages/entry/src/Attempt.cpp
+++ b/packages/entry/src/Attempt.cpp
@@ -33,6 +33,10 @@
 {
   mHasHead = true;
   mHead = aHead;
+  mFields = mServices.mTranslator.ReadResponse(aHead);
+  if (mFields.mIsLeaving && !mFields.mIsOtherUpstream) {
+    mServices.mReportLeaving(mPlace.mUpstream, mStart);
+  }
 }
 
 void Attempt::OnBody(std::string_view aPart)
--- a/packages/entry/src/Attempt.h
+++ b/packages/entry/src/Attempt.h
@@ -47,6 +47,8 @@
   const http::ResponseHead& Head() const { return mHead; }
   const std::string& Body() const { return mBody; }
   base::Duration Elapsed() const;
+  /** \returns what the response's head states; empty before its arrival. */
+  const ResponseFields& Fields() const { return mFields; }
   /** \returns whether the response's head has arrived. */
   bool HasHead() const { return mHasHead; }
 
@@ -63,6 +65,7 @@
   std::shared_ptr<http::ClientExchange> mExchange;
   base::TimePoint mStart;
   http::ResponseHead mHead;
+  ResponseFields mFields;
   std::string mBody;
   bool mHasHead = false;
   bool mIsStreaming = false;
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -81,6 +81,8 @@
   void OnTick();
   void OnRequest(const std::shared_ptr<http::ServerExchange>& aExchange);
   void OnMessage(const protocol::Envelope& aEnvelope);
+  void OnLeavingAnnounced(const base::UpstreamId& aUpstream,
+                          base::TimePoint aSentAt);
   void OnViewChanged();
   void UpdateHostCounts();
   void Apply(const upstreams::UpstreamEvents& aEvents);
@@ -201,6 +203,10 @@
     UpdateHostCounts();
     mServices.mCrashes.OnTick(mLoop.Now());
   });
+  mServices.mReportLeaving = [this](const base::UpstreamId& aUpstream,
+                                    base::TimePoint aSentAt) {
+    OnLeavingAnnounced(aUpstream, aSentAt);
+  };
   mServices.mReportCrash = [this](const base::ServiceId& aService,
                                   const retries::CrashRecord& aRecord) {
     mCluster.Broadcast(cluster::ToCrashReport(aService, aRecord));
@@ -213,6 +219,18 @@
   std::make_shared<RequestForwarder>(mServices, aExchange)->Start();
 }
 
+void EntryNode::Impl::OnLeavingAnnounced(const base::UpstreamId& aUpstream,
+                                         base::TimePoint aSentAt)
+{
+  base::LogInfo(base::LogLine("leaving_announced")
+                  .With("upstream", aUpstream)
+                  .With("sent_ms_ago",
+                        std::chrono::duration_cast<std::chrono::milliseconds>(
+                          mLoop.Now() - aSentAt)
+                          .count()));
+  mMetrics.Count("auburnmux_leaving_announcements_total", {});
+}
+
 void EntryNode::Impl::OnMessage(const protocol::Envelope& aEnvelope)
 {
   if (!aEnvelope.has_crash_report()) {
@@ -373,7 +391,8 @@
   mImpl->mSettings.mRetryBudget = aSettings.mRetryBudget;
 }
 
-void EntryNode::OnConfiguration(routing::Configuration aConfiguration)
+void EntryNode::OnConfiguration(routing::Configuration aConfiguration,
+                                StateSource aSource)
 {
   routing::RouteTable& routes = mImpl->mServices.mRoutes;
   const base::ConfigVersion version = aConfiguration.mVersion;
@@ -383,9 +402,11 @@
   const routing::RequestLimits& limits = routes.Current().mLimits;
   mImpl->mFront.SetLimits({ limits.mMaxHead, limits.mMaxBody,
                             limits.mHeadTimeout, limits.mIdleTimeout });
-  base::LogInfo(base::LogLine("config_in_force")
-                  .With("version", version)
-                  .With("routes", routes.Current().mRoutes.size()));
+  base::LogInfo(
+    base::LogLine("config_in_force")
+      .With("version", version)
+      .With("routes", routes.Current().mRoutes.size())
+      .With("source", aSource == StateSource::Store ? "store" : "other_host"));
   mImpl->mServices.mPlacement.SetColdRates(
     [&routes](const base::ServiceId& aService) {
       return routes.Policy(aService).mColdRate;
@@ -424,6 +445,11 @@
     mImpl->mLoop.Now(), std::move(aCentres), mImpl->LongestColdTime());
 }
 
+void EntryNode::OnConfigurationConfirmed()
+{
+  mImpl->mServices.mConfigConfirmedAt = mImpl->mLoop.Now();
+}
+
 void EntryNode::OnStoreLost()
 {
   base::LogWarning(base::LogLine("store_lost"));
--- a/packages/entry/src/EntryNode.h
+++ b/packages/entry/src/EntryNode.h
@@ -47,12 +47,14 @@
   /** Applies those changed settings that may change at run time. */
   void Reload(const EntrySettings& aSettings);
 
-  void OnConfiguration(routing::Configuration aConfiguration) override;
+  void OnConfiguration(routing::Configuration aConfiguration,
+                       StateSource aSource) override;
   void OnUpstreamList(const std::vector<upstreams::UpstreamRecord>& aRecords,
                       upstreams::ListSource aSource) override;
   void OnUpstream(const upstreams::UpstreamRecord& aRecord) override;
   void OnUpstreamRemoved(const base::UpstreamId& aId) override;
   void OnEvacuations(std::set<base::DataCentreId> aCentres) override;
+  void OnConfigurationConfirmed() override;
   void OnStoreLost() override;
   void OnStoreBack() override;
 
--- a/packages/entry/src/RequestForwarderAttempts.cpp
+++ b/packages/entry/src/RequestForwarderAttempts.cpp
@@ -104,7 +104,7 @@
     mServices.mPlacement.OnRoundTrip(mAttempt->Place().mUpstream, *trip);
   }
   if (mAttempt->HasHead()) {
-    result.mReport = mServices.mTranslator.ReadResponse(mAttempt->Head()).mLoad;
+    result.mReport = mAttempt->Fields().mLoad;
   }
   mServices.mPlacement.OnResult(mServices.mLoop.Now(), mPlaceRequest, result);
   mServices.mDispatcher.OnCapacityAvailable();
@@ -113,8 +113,7 @@
 void RequestForwarder::OnAttemptResponse()
 {
   const auto self = shared_from_this();
-  const ResponseFields fields =
-    mServices.mTranslator.ReadResponse(mAttempt->Head());
+  const ResponseFields& fields = mAttempt->Fields();
   carriage::ResponseClassification meaning;
   meaning.mIsNotRun = fields.mIsNotRun || fields.mIsOtherUpstream;
   meaning.mIsFailure = mAttempt->Head().mStatus >= kFirstServerError;
--- a/packages/entry/src/RequestForwarderResponses.cpp
+++ b/packages/entry/src/RequestForwarderResponses.cpp
@@ -100,6 +100,11 @@
     .With("status", aStatus)
     .With("ms", Milliseconds(mServices.mLoop.Now() - mArrived))
     .With("config", mServices.mRoutes.Version());
+  if (!mRoute && mServices.mConfigConfirmedAt) {
+    line.With("config_confirmed_ms",
+              Milliseconds(mServices.mLoop.Now() -
+                           *mServices.mConfigConfirmedAt));
+  }
   if (mRoute) {
     line.With("route", mRoute->mId)
       .With("service", mPlaceRequest.mService)
--- a/packages/entry/src/Services.h
+++ b/packages/entry/src/Services.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -41,12 +42,19 @@
   retries::CrashGuard mCrashes{ retries::QuarantineSettings{
     kCrashThreshold } };
   retries::StragglerPolicy mStragglers{};
+  /** When the store last answered while the configuration followed it; unset
+   * before the first time. */
+  std::optional<base::TimePoint> mConfigConfirmedAt{};
   /** Limits of the idle time of reused connections, by service. */
   std::unordered_map<base::ServiceId, retries::IdleReuseLimit>
     mIdleReuseLimits{};
   /** Reports a request that crashes upstreams to the other hosts. */
   std::function<void(const base::ServiceId&, const retries::CrashRecord&)>
     mReportCrash{};
+  /** Reports that an upstream announced its shutdown in a response to a request
+   * that was sent at the given time. */
+  std::function<void(const base::UpstreamId&, base::TimePoint)>
+    mReportLeaving{};
   /** Number of hosts that share cluster-wide limits, this one included. */
   std::size_t mSharers = 1;
   /** Whether this host is stopping and refuses new requests. */
--- a/packages/entry/src/Translator.h
+++ b/packages/entry/src/Translator.h
@@ -27,6 +27,8 @@
   bool mIsNotRun = false;
   /** Another upstream now has the address; it did not run the request. */
   bool mIsOtherUpstream = false;
+  /** The upstream is draining and wants no new requests. */
+  bool mIsLeaving = false;
   std::optional<placing::LoadReport> mLoad;
 };
 
@@ -35,6 +37,8 @@
 {
   std::optional<base::UpstreamId> mUpstream;
   base::Duration mColdRemaining{};
+  /** The upstream is draining and wants no new requests. */
+  bool mIsLeaving = false;
 };
 
 /**
