--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -3,6 +3,7 @@
 #include "http/src/Loop.h"
 #include "http/src/Message.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -123,6 +124,16 @@
   base::Duration mUnacknowledgedTimeout = std::chrono::seconds(10);
   /** Idle time after which TCP keep-alive probes are sent. */
   base::Duration mProbeAfter = std::chrono::seconds(10);
+  /** Unanswered probes, one second apart, after which a connection is closed.
+   */
+  std::uint32_t mMaxProbes = 3;
+
+  /** \returns the time after which a connection is closed whose peer has
+   * become silent. */
+  base::Duration SilenceTimeout() const
+  {
+    return mProbeAfter + mMaxProbes * std::chrono::seconds(1);
+  }
 };
 
 /**
--- a/packages/http/src/HttpClientConnection.cpp
+++ b/packages/http/src/HttpClientConnection.cpp
@@ -75,7 +75,7 @@
 bool HttpClientConnection::Connect(base::Duration aTimeout)
 {
   const SilenceLimits limits{ mOptions.mUnacknowledgedTimeout,
-                              mOptions.mProbeAfter };
+                              mOptions.mProbeAfter, mOptions.mMaxProbes };
   if (!mStream.Connect(mEndpoint, mOptions.mSource, limits)) {
     return false;
   }
--- a/packages/http/src/TcpStream.cpp
+++ b/packages/http/src/TcpStream.cpp
@@ -18,8 +18,6 @@
 // Maximum capacity that an empty send buffer retains.
 constexpr std::size_t kMaxIdleBufferBytes = 4096;
 
-constexpr int kMaxProbes = 3;
-
 std::optional<sockaddr_in> ToSocketAddress(const std::string& aAddress,
                                            std::uint16_t aPort)
 {
@@ -50,7 +48,8 @@
   SetOption(aDescriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(idle));
   SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPINTVL, 1);
-  SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPCNT, kMaxProbes);
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPCNT,
+            static_cast<int>(aLimits.mMaxProbes));
 }
 
 } // namespace
--- a/packages/http/src/TcpStream.h
+++ b/packages/http/src/TcpStream.h
@@ -4,6 +4,7 @@
 #include "http/src/Message.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,9 +22,10 @@
 {
   /** Maximum time that sent data may stay unacknowledged. */
   base::Duration mUnacknowledgedTimeout = std::chrono::seconds(10);
-  /** Idle time after which TCP keep-alive probes are sent: at most three, one
-   * second apart. */
+  /** Idle time after which TCP keep-alive probes are sent, one second apart. */
   base::Duration mProbeAfter = std::chrono::seconds(10);
+  /** Unanswered probes after which the connection is closed. */
+  std::uint32_t mMaxProbes = 3;
 };
 
 /** A non-blocking TCP connection with a buffer of bytes to send. */
