Close silent connections to the platform before a change is due in daemon

A connection that became silent was closed after 13 s (10 s on Linux, where the limit on unacknowledged data counts), its watch after 35 s; a change has to be in force everywhere within 4 s. Hosts of other data centres announce the version, so a host misses it only if all watches are silent.

Calls to the platform now run on a client of their own, whose silent connections end after 2 s.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -60,6 +60,9 @@
   config::HostSettings mSettings;
   http::Loop mLoop;
   http::Client mClient{ mLoop };
+  http::Client mPlatformConnections{
+    mLoop, objects::PlatformClient::ConnectionOptions()
+  };
   base::Random mRandom{ std::random_device{}() };
   telemetry::Metrics mMetrics;
   telemetry::SpanLog mSpans;
@@ -104,7 +107,7 @@
               aFeatures }
   , mTransport(mLoop, MakeTransportSettings(mSettings, mContext.mIncarnation),
                [this](const protocol::Envelope& aIt) { OnEnvelope(aIt); })
-  , mPlatform(mLoop, mClient,
+  , mPlatform(mLoop, mPlatformConnections,
               { mSettings.mPlatform.mAddress, mSettings.mPlatform.mPort })
   , mCluster(
       mContext.mLoop, mContext.mMetrics, base::Random(mContext.mRandom.Next()),
--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -3,6 +3,7 @@
 #include "http/src/Loop.h"
 #include "http/src/Message.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -129,10 +130,12 @@
   std::uint32_t mMaxProbes = 3;
 
   /** \returns the time after which a connection is closed whose peer has
-   * become silent. */
+   * become silent. Linux waits for mUnacknowledgedTimeout in any case. */
   base::Duration SilenceTimeout() const
   {
-    return mProbeAfter + mMaxProbes * std::chrono::seconds(1);
+    const base::Duration probing =
+      mProbeAfter + mMaxProbes * std::chrono::seconds(1);
+    return std::max(probing, mUnacknowledgedTimeout);
   }
 };
 
--- a/packages/objects/src/PlatformClient.cpp
+++ b/packages/objects/src/PlatformClient.cpp
@@ -127,6 +127,15 @@
 
 } // namespace
 
+http::ClientOptions PlatformClient::ConnectionOptions()
+{
+  http::ClientOptions options;
+  options.mUnacknowledgedTimeout = std::chrono::seconds(2);
+  options.mProbeAfter = std::chrono::seconds(1);
+  options.mMaxProbes = 1;
+  return options;
+}
+
 PlatformClient::PlatformClient(http::Loop& aLoop, http::Client& aClient,
                                http::Endpoint aPlatform, CallBudget aBudget)
   : mLoop(aLoop)
--- a/packages/objects/src/PlatformClient.h
+++ b/packages/objects/src/PlatformClient.h
@@ -47,6 +47,11 @@
   template<typename Result>
   using Done = std::function<void(const Result&)>;
 
+  /** \returns the options of connections to the platform. A watch whose
+   * connection became silent has to end well within the time in which a change
+   * has to be in force. */
+  static http::ClientOptions ConnectionOptions();
+
   PlatformClient(http::Loop& aLoop, http::Client& aClient,
                  http::Endpoint aPlatform, CallBudget aBudget = CallBudget());
 
--- a/packages/objects/test/PlatformClientTest.cpp
+++ b/packages/objects/test/PlatformClientTest.cpp
@@ -165,3 +165,14 @@
     2, std::get<std::vector<ListedObject>>(objects()).at(0).mVersion.Count());
   STRCMP_EQUAL("prefix=a/", mScript.mLastRequest.mQuery.c_str());
 }
+
+// Guards against a watch whose connection became silent and that ended only
+// after the change it missed had to be in force, 4 s after its acceptance.
+TEST(PlatformClient, SilentConnectionEndsBeforeAChangeIsDue)
+{
+  constexpr base::Duration kChangeDue = std::chrono::seconds(4);
+  constexpr base::Duration kTimeToRead = std::chrono::seconds(1);
+  CHECK_TRUE(PlatformClient::ConnectionOptions().SilenceTimeout() +
+               kTimeToRead <=
+             kChangeDue);
+}
