Stop sending to upstreams that announce their leaving in a response

Cause: the adapter learned of a shutdown from the store's entries alone; the announcement in responses was not read.

Evidence: by test only.

Change: the head of a response, or of the answer to a health check, that announces the shutdown makes the upstream leaving at once, in UpstreamBook, which keeps that across entries that still say ready, entries that lapse and come back, and announcements that arrive after the removal.

Daemon has its own signal (upstream-state: leaving), which outlives new configurations and is revoked only by a health check; read through, not changed.

Failed before: PlatformPath.UpstreamThatAnnouncedItsShutdownGetsNoRequests and UpstreamThatAnnouncesItsShutdownWithARejectionGetsNoMore (with the event logged but not applied).

--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -222,13 +222,14 @@
 void EntryNode::Impl::OnLeavingAnnounced(const base::UpstreamId& aUpstream,
                                          base::TimePoint aSentAt)
 {
-  base::LogInfo(base::LogLine("leaving_announced")
-                  .With("upstream", aUpstream)
-                  .With("sent_ms_ago",
-                        std::chrono::duration_cast<std::chrono::milliseconds>(
-                          mLoop.Now() - aSentAt)
-                          .count()));
+  const upstreams::UpstreamEvents events =
+    mUpstreamBook.OnLeavingAnnounced(aSentAt, aUpstream);
+  if (events.empty()) {
+    return;
+  }
+  base::LogInfo(base::LogLine("leaving_announced").With("upstream", aUpstream));
   mMetrics.Count("auburnmux_leaving_announcements_total", {});
+  Apply(events);
 }
 
 void EntryNode::Impl::OnMessage(const protocol::Envelope& aEnvelope)
--- a/packages/entry/src/HealthChecks.cpp
+++ b/packages/entry/src/HealthChecks.cpp
@@ -87,22 +87,24 @@
   request.mNeedsFreshConnection = true;
   request.mConnectTimeout = kCheckTimeout;
   const auto observer = std::make_shared<HeadObserver>(
-    mServices.mLoop,
-    [this, aUpstream](const std::optional<http::ResponseHead>& aHead) {
-      OnChecked(aUpstream, aHead);
+    mServices.mLoop, [this, aUpstream, sentAt = mServices.mLoop.Now()](
+                       const std::optional<http::ResponseHead>& aHead) {
+      OnChecked(aUpstream, sentAt, aHead);
     });
   observer->Start(mServices.mClient.Send(request, observer));
 }
 
 void HealthChecks::OnChecked(const base::UpstreamId& aUpstream,
+                             base::TimePoint aSentAt,
                              const std::optional<http::ResponseHead>& aHead)
 {
   constexpr int kHealthy = 200;
-  HealthFields fields;
-  bool isHealthy = aHead && aHead->mStatus == kHealthy;
-  if (isHealthy) {
-    fields = mServices.mTranslator.ReadHealth(*aHead);
-    isHealthy = !fields.mUpstream || *fields.mUpstream == aUpstream;
+  const HealthFields fields =
+    aHead ? mServices.mTranslator.ReadHealth(*aHead) : HealthFields();
+  const bool isOwn = !fields.mUpstream || *fields.mUpstream == aUpstream;
+  const bool isHealthy = isOwn && aHead && aHead->mStatus == kHealthy;
+  if (isOwn && fields.mIsLeaving) {
+    mServices.mReportLeaving(aUpstream, aSentAt);
   }
   base::LogInfo(base::LogLine("health_checked")
                   .With("upstream", aUpstream)
--- a/packages/entry/src/HealthChecks.h
+++ b/packages/entry/src/HealthChecks.h
@@ -17,7 +17,7 @@
 
 private:
   void Check(const base::UpstreamId& aUpstream);
-  void OnChecked(const base::UpstreamId& aUpstream,
+  void OnChecked(const base::UpstreamId& aUpstream, base::TimePoint aSentAt,
                  const std::optional<http::ResponseHead>& aHead);
 
   Services& mServices;
--- a/packages/upstreams/src/UpstreamBook.cpp
+++ b/packages/upstreams/src/UpstreamBook.cpp
@@ -1,6 +1,8 @@
 #include "upstreams/src/UpstreamBook.h"
 
+#include <iterator>
 #include <set>
+#include <utility>
 
 namespace auburnmux::upstreams {
 
@@ -19,22 +21,22 @@
   std::set<base::UpstreamId> listed;
   for (const UpstreamRecord& it : aRecords) {
     listed.insert(it.mId);
-    Take(it, events);
+    Take(aNow, it, events);
   }
   for (auto it = mEntries.begin(); it != mEntries.end();) {
     const auto entry = it++;
     if (listed.count(entry->first) == 0) {
-      Remove(isSettled, entry, events);
+      Remove(aNow, isSettled, entry, events);
     }
   }
   return events;
 }
 
-UpstreamEvents UpstreamBook::OnRecord(base::TimePoint /*aNow*/,
+UpstreamEvents UpstreamBook::OnRecord(base::TimePoint aNow,
                                       const UpstreamRecord& aRecord)
 {
   UpstreamEvents events;
-  Take(aRecord, events);
+  Take(aNow, aRecord, events);
   return events;
 }
 
@@ -44,11 +46,27 @@
   UpstreamEvents events;
   const auto entry = mEntries.find(aId);
   if (entry != mEntries.end()) {
-    Remove(IsSettled(aNow), entry, events);
+    Remove(aNow, IsSettled(aNow), entry, events);
   }
   return events;
 }
 
+UpstreamEvents UpstreamBook::OnLeavingAnnounced(base::TimePoint aSentAt,
+                                                const base::UpstreamId& aId)
+{
+  const auto removed = mRemoved.find(aId);
+  if (removed != mRemoved.end() &&
+      removed->second.mEntry.mFirstSeen <= aSentAt) {
+    removed->second.mEntry.mRecord.mIsLeaving = true;
+  }
+  const auto entry = mEntries.find(aId);
+  if (entry == mEntries.end() || entry->second.mFirstSeen > aSentAt ||
+      std::exchange(entry->second.mRecord.mIsLeaving, true)) {
+    return {};
+  }
+  return { UpstreamLeaving{ aId } };
+}
+
 void UpstreamBook::OnSourceLost(base::TimePoint /*aNow*/)
 {
   mIsSourceLost = true;
@@ -65,13 +83,18 @@
 UpstreamEvents UpstreamBook::OnTick(base::TimePoint aNow)
 {
   UpstreamEvents events;
+  for (auto it = mRemoved.begin(); it != mRemoved.end();) {
+    const bool isOld =
+      aNow - it->second.mRemovedAt >= mSettings.mRemovedRetention;
+    it = isOld ? mRemoved.erase(it) : std::next(it);
+  }
   if (!IsSettled(aNow)) {
     return events;
   }
   for (auto it = mEntries.begin(); it != mEntries.end();) {
     const auto entry = it++;
     if (entry->second.mIsLapsed) {
-      Remove(true, entry, events);
+      Remove(aNow, true, entry, events);
     }
   }
   return events;
@@ -83,18 +106,18 @@
          (!mBackAt || aNow - *mBackAt >= mSettings.mLapseGrace);
 }
 
-void UpstreamBook::Take(const UpstreamRecord& aRecord, UpstreamEvents& aEvents)
+void UpstreamBook::Take(base::TimePoint aNow, const UpstreamRecord& aRecord,
+                        UpstreamEvents& aEvents)
 {
   const auto entry = mEntries.find(aRecord.mId);
   if (entry == mEntries.end()) {
-    Add(aRecord, aEvents);
+    Add(aNow, aRecord, aEvents);
     return;
   }
   UpstreamRecord& known = entry->second.mRecord;
   if (!IsSameProcess(known, aRecord)) {
-    mEntries.erase(entry);
-    aEvents.push_back(UpstreamGone{ aRecord.mId });
-    Add(aRecord, aEvents);
+    Erase(aNow, entry, aEvents);
+    Add(aNow, aRecord, aEvents);
     return;
   }
   entry->second.mIsLapsed = false;
@@ -112,32 +135,41 @@
   }
 }
 
-void UpstreamBook::Add(const UpstreamRecord& aRecord, UpstreamEvents& aEvents)
+void UpstreamBook::Add(base::TimePoint aNow, const UpstreamRecord& aRecord,
+                       UpstreamEvents& aEvents)
 {
-  DropOthersAt(aRecord, aEvents);
-  mEntries[aRecord.mId] = { aRecord };
+  DropOthersAt(aNow, aRecord, aEvents);
+  Entry entry{ aRecord, aNow };
+  const auto removed = mRemoved.find(aRecord.mId);
+  if (removed != mRemoved.end() &&
+      IsSameProcess(removed->second.mEntry.mRecord, aRecord)) {
+    entry.mFirstSeen = removed->second.mEntry.mFirstSeen;
+    entry.mRecord.mIsLeaving =
+      aRecord.mIsLeaving || removed->second.mEntry.mRecord.mIsLeaving;
+    mRemoved.erase(removed);
+  }
   aEvents.push_back(UpstreamAppeared{ aRecord });
-  if (aRecord.mIsLeaving) {
+  if (entry.mRecord.mIsLeaving) {
     aEvents.push_back(UpstreamLeaving{ aRecord.mId });
   }
+  mEntries[aRecord.mId] = std::move(entry);
 }
 
-void UpstreamBook::DropOthersAt(const UpstreamRecord& aRecord,
+void UpstreamBook::DropOthersAt(base::TimePoint aNow,
+                                const UpstreamRecord& aRecord,
                                 UpstreamEvents& aEvents)
 {
   for (auto it = mEntries.begin(); it != mEntries.end();) {
-    const UpstreamRecord& other = it->second.mRecord;
+    const auto entry = it++;
+    const UpstreamRecord& other = entry->second.mRecord;
     if (other.mAddress == aRecord.mAddress && other.mPort == aRecord.mPort) {
-      aEvents.push_back(UpstreamGone{ it->first });
-      it = mEntries.erase(it);
-    } else {
-      ++it;
+      Erase(aNow, entry, aEvents);
     }
   }
 }
 
-void UpstreamBook::Remove(bool aIsSettled, Entries::iterator aEntry,
-                          UpstreamEvents& aEvents)
+void UpstreamBook::Remove(base::TimePoint aNow, bool aIsSettled,
+                          Entries::iterator aEntry, UpstreamEvents& aEvents)
 {
   // An upstream that was leaving has stopped; others may only have been unable
   // to renew their entry.
@@ -145,7 +177,14 @@
     aEntry->second.mIsLapsed = true;
     return;
   }
+  Erase(aNow, aEntry, aEvents);
+}
+
+void UpstreamBook::Erase(base::TimePoint aNow, Entries::iterator aEntry,
+                         UpstreamEvents& aEvents)
+{
   aEvents.push_back(UpstreamGone{ aEntry->first });
+  mRemoved[aEntry->first] = { std::move(aEntry->second), aNow };
   mEntries.erase(aEntry);
 }
 
--- a/packages/upstreams/src/UpstreamBook.h
+++ b/packages/upstreams/src/UpstreamBook.h
@@ -28,6 +28,9 @@
    * themselves again within 2 s.
    */
   base::Duration mLapseGrace = std::chrono::milliseconds(2000);
+  /** Time for which a removed process is remembered, so that its entry doesn't
+   * bring it back after it announced its shutdown. */
+  base::Duration mRemovedRetention = std::chrono::minutes(5);
 };
 
 /**
@@ -48,6 +51,12 @@
   UpstreamEvents OnRecord(base::TimePoint aNow, const UpstreamRecord& aRecord);
   /** The source no longer lists the upstream, or its entry is unreadable. */
   UpstreamEvents OnRemoved(base::TimePoint aNow, const base::UpstreamId& aId);
+  /**
+   * The upstream itself announced its shutdown, in a response to a request that
+   * was sent at \a aSentAt. Ignored if its process was replaced since then.
+   */
+  UpstreamEvents OnLeavingAnnounced(base::TimePoint aSentAt,
+                                    const base::UpstreamId& aId);
   /** The source doesn't answer; entries may lapse without being removed. */
   void OnSourceLost(base::TimePoint aNow);
   void OnSourceBack(base::TimePoint aNow);
@@ -61,19 +70,32 @@
   struct Entry
   {
     UpstreamRecord mRecord;
+    base::TimePoint mFirstSeen;
     bool mIsLapsed = false;
   };
   using Entries = std::map<base::UpstreamId, Entry>;
+  struct RemovedEntry
+  {
+    Entry mEntry;
+    base::TimePoint mRemovedAt;
+  };
 
   bool IsSettled(base::TimePoint aNow) const;
-  void Take(const UpstreamRecord& aRecord, UpstreamEvents& aEvents);
-  void Add(const UpstreamRecord& aRecord, UpstreamEvents& aEvents);
-  void DropOthersAt(const UpstreamRecord& aRecord, UpstreamEvents& aEvents);
-  void Remove(bool aIsSettled, Entries::iterator aEntry,
+  void Take(base::TimePoint aNow, const UpstreamRecord& aRecord,
+            UpstreamEvents& aEvents);
+  void Add(base::TimePoint aNow, const UpstreamRecord& aRecord,
+           UpstreamEvents& aEvents);
+  void DropOthersAt(base::TimePoint aNow, const UpstreamRecord& aRecord,
+                    UpstreamEvents& aEvents);
+  void Remove(base::TimePoint aNow, bool aIsSettled, Entries::iterator aEntry,
               UpstreamEvents& aEvents);
+  /** Removes the entry and remembers it. */
+  void Erase(base::TimePoint aNow, Entries::iterator aEntry,
+             UpstreamEvents& aEvents);
 
   BookSettings mSettings;
   Entries mEntries;
+  std::map<base::UpstreamId, RemovedEntry> mRemoved;
   bool mIsSourceLost = false;
   std::optional<base::TimePoint> mBackAt;
 };
--- a/packages/upstreams/test/UpstreamBookTest.cpp
+++ b/packages/upstreams/test/UpstreamBookTest.cpp
@@ -67,6 +67,11 @@
   {
     mFollower.Take(mBook.OnTick(At(aNow)));
   }
+  void Announce(int aSentAt, const char* aId)
+  {
+    mFollower.Take(
+      mBook.OnLeavingAnnounced(At(aSentAt), base::UpstreamId(aId)));
+  }
   bool IsUsable(const char* aId) const
   {
     return mFollower.mUsable.count(aId) > 0;
@@ -227,3 +232,62 @@
     RC_ASSERT(follower.mUsable == expected);
   });
 }
+
+TEST(UpstreamBook, AnnouncedLeavingOutlivesEntriesThatSayReady)
+{
+  List(0, { MakeRecord("a", 1), MakeRecord("b", 2) });
+  Announce(100, "a");
+  CHECK_FALSE(IsUsable("a"));
+  CHECK_TRUE(IsUsable("b"));
+  mFollower.Take(mBook.OnRecord(At(200), MakeRecord("a", 1)));
+  List(300, { MakeRecord("a", 1), MakeRecord("b", 2) });
+  CHECK_FALSE(IsUsable("a"));
+}
+
+TEST(UpstreamBook, AnnouncedLeavingOutlivesALapsedEntry)
+{
+  List(0, { MakeRecord("a", 1) });
+  mBook.OnSourceLost(At(50));
+  Announce(100, "a");
+  mFollower.Take(mBook.OnRemoved(At(200), base::UpstreamId("a")));
+  mBook.OnSourceBack(At(300));
+  List(400, { MakeRecord("a", 1) });
+  Tick(5000);
+  CHECK_FALSE(IsUsable("a"));
+}
+
+TEST(UpstreamBook, AnnouncementThatArrivesAfterTheRemovalCounts)
+{
+  List(0, { MakeRecord("a", 1) });
+  mFollower.Take(mBook.OnRemoved(At(100), base::UpstreamId("a")));
+  Announce(50, "a");
+  List(200, { MakeRecord("a", 1) });
+  CHECK_FALSE(IsUsable("a"));
+}
+
+TEST(UpstreamBook, AnnouncementOfAReplacedProcessIsIgnored)
+{
+  UpstreamRecord first = MakeRecord("a", 1);
+  first.mIncarnation = base::Incarnation(1);
+  List(0, { first });
+  UpstreamRecord next = first;
+  next.mIncarnation = base::Incarnation(2);
+  mFollower.Take(mBook.OnRecord(At(200), next));
+  Announce(100, "a");
+  CHECK_TRUE(IsUsable("a"));
+  Announce(300, "a");
+  CHECK_FALSE(IsUsable("a"));
+}
+
+TEST(UpstreamBook, NewProcessUnderTheIdOfALeavingOneIsUsable)
+{
+  UpstreamRecord first = MakeRecord("a", 1);
+  first.mIncarnation = base::Incarnation(1);
+  List(0, { first });
+  Announce(100, "a");
+  mFollower.Take(mBook.OnRemoved(At(200), base::UpstreamId("a")));
+  UpstreamRecord next = first;
+  next.mIncarnation = base::Incarnation(2);
+  List(300, { next });
+  CHECK_TRUE(IsUsable("a"));
+}
