Answer 503 for a missing route while the configuration may be outdated

Change: routing::Confirmation tracks when the configuration was last known to be the newest: the store answered while the copy followed it, or a host that follows the store named nothing newer. Without that for 2.5 s (the probe comes every 1.5 s), a request without a route is refused as not run, with a Retry-After of 0.3 s: another host may know the route.

--- a/packages/carriage/src/RequestAction.h
+++ b/packages/carriage/src/RequestAction.h
@@ -12,6 +12,8 @@
 enum class Reason
 {
   NoConfiguration,
+  /** No route matches, but the configuration may be outdated. */
+  OutdatedConfiguration,
   NoCapacity,
   NoUpstream,
   NoBudget,
--- a/packages/carriage/src/RequestStateMachine.cpp
+++ b/packages/carriage/src/RequestStateMachine.cpp
@@ -18,6 +18,8 @@
   switch (aReason) {
     case Reason::NoConfiguration:
       return "no_configuration";
+    case Reason::OutdatedConfiguration:
+      return "outdated_configuration";
     case Reason::NoCapacity:
       return "no_room";
     case Reason::NoUpstream:
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -448,7 +448,7 @@
 
 void EntryNode::OnConfigurationConfirmed()
 {
-  mImpl->mServices.mConfigConfirmedAt = mImpl->mLoop.Now();
+  mImpl->mServices.mConfirmation.Confirm(mImpl->mLoop.Now());
 }
 
 void EntryNode::OnStoreLost()
--- a/packages/entry/src/RequestForwarderResponses.cpp
+++ b/packages/entry/src/RequestForwarderResponses.cpp
@@ -8,6 +8,10 @@
 
 using carriage::Reason;
 
+/** Retry-after of a request whose route this host may not know yet. Short,
+ * since another host may know it. */
+constexpr base::Duration kOutdatedRetryAfter = std::chrono::milliseconds(300);
+
 std::string FormatSeconds(base::Duration aTime)
 {
   char buf[32];
@@ -56,6 +60,10 @@
 
 void RequestForwarder::RespondUnknownRoute()
 {
+  if (!mServices.mConfirmation.IsRecent(mServices.mLoop.Now())) {
+    Refuse(Reason::OutdatedConfiguration, kOutdatedRetryAfter);
+    return;
+  }
   LogEnd("no_route", 404);
   mIsAnswered = true;
   mExchange->Respond(404, {}, "");
@@ -100,10 +108,9 @@
     .With("status", aStatus)
     .With("ms", Milliseconds(mServices.mLoop.Now() - mArrived))
     .With("config", mServices.mRoutes.Version());
-  if (!mRoute && mServices.mConfigConfirmedAt) {
-    line.With("config_confirmed_ms",
-              Milliseconds(mServices.mLoop.Now() -
-                           *mServices.mConfigConfirmedAt));
+  const auto age = mServices.mConfirmation.Age(mServices.mLoop.Now());
+  if (!mRoute && age) {
+    line.With("config_confirmed_ms", Milliseconds(*age));
   }
   if (mRoute) {
     line.With("route", mRoute->mId)
--- a/packages/entry/src/Services.h
+++ b/packages/entry/src/Services.h
@@ -13,7 +13,6 @@
 
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -42,9 +41,7 @@
   retries::CrashGuard mCrashes{ retries::QuarantineSettings{
     kCrashThreshold } };
   retries::StragglerPolicy mStragglers{};
-  /** When the store last answered while the configuration followed it; unset
-   * before the first time. */
-  std::optional<base::TimePoint> mConfigConfirmedAt{};
+  routing::Confirmation mConfirmation{};
   /** Limits of the idle time of reused connections, by service. */
   std::unordered_map<base::ServiceId, retries::IdleReuseLimit>
     mIdleReuseLimits{};
--- a/packages/entry/src/StateSink.h
+++ b/packages/entry/src/StateSink.h
@@ -30,7 +30,7 @@
   virtual void OnUpstream(const upstreams::UpstreamRecord& aRecord) = 0;
   virtual void OnUpstreamRemoved(const base::UpstreamId& aId) = 0;
   virtual void OnEvacuations(std::set<base::DataCentreId> aCentres) = 0;
-  /** The store answered while the copy of the configuration follows it. */
+  /** The store, or a host that follows it, named no newer configuration. */
   virtual void OnConfigurationConfirmed() = 0;
   /** The store has stopped answering this host. */
   virtual void OnStoreLost() = 0;
--- a/packages/routing/Routing.h
+++ b/packages/routing/Routing.h
@@ -4,4 +4,6 @@
 
 #include "routing/src/RouteTable.h"
 
+#include "routing/src/Confirmation.h"
+
 #include "routing/src/SplitSelector.h"
--- a/packages/routing/test/RoutingTest.cpp
+++ b/packages/routing/test/RoutingTest.cpp
@@ -104,3 +104,17 @@
     }
   });
 }
+
+TEST(Routing, ConfirmationIsRecentWhileTheSourceAnswers)
+{
+  const auto at = [](int aMilliseconds) {
+    return base::TimePoint(std::chrono::milliseconds(aMilliseconds));
+  };
+  Confirmation confirmation;
+  CHECK_FALSE(confirmation.IsRecent(at(1000)));
+  confirmation.Confirm(at(1000));
+  CHECK_TRUE(confirmation.IsRecent(at(3500)));
+  CHECK_FALSE(confirmation.IsRecent(at(3501)));
+  confirmation.Confirm(at(4000));
+  CHECK_TRUE(confirmation.IsRecent(at(4001)));
+}
