Replace silent connections between hosts before their peers are declared dead

What callers would see: after connections between hosts fell silent, every host declared every other one dead and named itself alone in look-ups, until the connections were replaced; shared limits and crash reports were cut off for as long.

Daemon uses the same transport.

--- a/packages/peer/src/Transport.cpp
+++ b/packages/peer/src/Transport.cpp
@@ -11,9 +11,13 @@
 // Send queue limit per peer, about a few seconds of messages. A longer queue
 // would only deliver stale messages once a link recovers.
 constexpr int kMaxQueuedMessages = 128;
-constexpr int kHeartbeatIntervalMs = 2000;
-constexpr int kHeartbeatTimeoutMs = 6000;
+constexpr int kHeartbeatIntervalMs = 500;
+constexpr int kHeartbeatTimeoutMs = 1000;
 constexpr int kInitialReconnectMs = 100;
+static_assert(std::chrono::milliseconds(kHeartbeatIntervalMs +
+                                        kHeartbeatTimeoutMs +
+                                        kInitialReconnectMs) <=
+              Transport::kSilenceTimeout);
 constexpr int kMaxReconnectMs = 1000;
 constexpr std::size_t kMaxPeers = 512;
 
--- a/packages/peer/src/Transport.h
+++ b/packages/peer/src/Transport.h
@@ -48,6 +48,10 @@
 public:
   using Handler = std::function<void(const protocol::Envelope&)>;
 
+  /** Time after which a connection that became silent has been replaced. */
+  static constexpr base::Duration kSilenceTimeout =
+    std::chrono::milliseconds(1600);
+
   Transport(http::Loop& aLoop, TransportSettings aSettings, Handler aHandler);
   ~Transport();
   Transport(const Transport&) = delete;
