Divide the limits that upstreams name among the hosts

What callers saw: nothing yet; the upstreams did.

Cause: nothing read the limit. Class: a bound on the sum over all hosts that no host can see.

Change: each host computes its part of a limit from the list of hosts that may be sending (ShareLimit); nothing is exchanged. Hosts in the upstream's region get larger parts. The parts and their bursts sum to at most what 4 s allow, for any number of hosts: where one request of each host would be too many, only some hosts get a part. The placement counts the wait for the part into the cost of an upstream, so that requests go elsewhere or wait; those that can't be served in time are refused at once. A limit is lifted by a response to a request sent after it was last named; older responses may come late.

--- a/packages/entry/src/Attempt.cpp
+++ b/packages/entry/src/Attempt.cpp
@@ -34,14 +34,33 @@
   mHasHead = true;
   mHead = aHead;
   mFields = mServices.mTranslator.ReadResponse(aHead);
-  if (mFields.mIsLeaving && !mFields.mIsOtherUpstream) {
+  if (!mFields.mIsOtherUpstream) {
+    ReportUpstream();
+  }
+}
+
+void Attempt::ReportUpstream()
+{
+  if (mFields.mIsLeaving) {
     mServices.mReportLeaving(mPlace.mUpstream, mStart);
   }
-  if (mFields.mLimit && !mFields.mIsOtherUpstream) {
-    base::LogInfo(base::LogLine("upstream_limit")
-                    .With("id", mPlace.mUpstream)
-                    .With("limit", *mFields.mLimit));
+  const bool isChanged = mServices.mPlacement.OnLimit(
+    mServices.mLoop.Now(), mPlace.mUpstream, mFields.mLimit, mStart);
+  if (isChanged) {
+    LogLimit();
+  }
+}
+
+void Attempt::LogLimit() const
+{
+  base::LogLine line("upstream_limit");
+  line.With("id", mPlace.mUpstream);
+  if (const auto share = mServices.mPlacement.LimitShareOf(mPlace.mUpstream)) {
+    line.With("limit", *mFields.mLimit).With("own_rate", share->mRate);
+  } else {
+    line.With("limit", "none");
   }
+  base::LogInfo(line);
 }
 
 void Attempt::OnBody(std::string_view aPart)
--- a/packages/entry/src/Attempt.h
+++ b/packages/entry/src/Attempt.h
@@ -59,6 +59,11 @@
   void OnWritable() override;
 
 private:
+  /** Applies what the head states about the upstream itself. */
+  void ReportUpstream();
+  /** Logs the limit that the upstream named or no longer names. */
+  void LogLimit() const;
+
   Services& mServices;
   AttemptObserver* mObserver;
   placing::Placed mPlace;
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -85,6 +85,9 @@
                           base::TimePoint aSentAt);
   void OnViewChanged();
   void UpdateHostCounts();
+  /** \returns the hosts that may be sending to upstreams; one for each data
+   * centre of which this host doesn't know any, as it may just have started. */
+  std::vector<placing::LimitSharer> LimitSharers() const;
   void Apply(const upstreams::UpstreamEvents& aEvents);
   void JoinWhenReady();
   base::Duration LongestColdTime() const;
@@ -269,8 +272,31 @@
   // has at least one.
   counts.mSharers =
     std::max(mActiveHosts.Count(mLoop.Now()), mSettings.mRegions.size());
+  counts.mSelf = mSettings.mHost;
+  counts.mLimitSharers = LimitSharers();
   mServices.mSharers = counts.mSharers;
-  mServices.mPlacement.SetHostCounts(counts);
+  mServices.mPlacement.SetHostCounts(mLoop.Now(), counts);
+}
+
+std::vector<placing::LimitSharer> EntryNode::Impl::LimitSharers() const
+{
+  std::vector<placing::LimitSharer> sharers{ { mSettings.mHost,
+                                               mSettings.mRegion } };
+  std::set<base::DataCentreId> missing;
+  for (const auto& [centre, region] : mSettings.mRegions) {
+    missing.insert(centre);
+  }
+  missing.erase(mSettings.mDataCentre);
+  for (const membership::HostIdentity& it : mActiveHosts.Hosts(mLoop.Now())) {
+    missing.erase(it.mDataCentre);
+    if (it.mId != mSettings.mHost) {
+      sharers.push_back({ it.mId, it.mRegion });
+    }
+  }
+  for (const base::DataCentreId& it : missing) {
+    sharers.push_back({ base::HostId(it.Text()), mSettings.mRegions.at(it) });
+  }
+  return sharers;
 }
 
 void EntryNode::Impl::JoinWhenReady()
--- a/packages/membership/src/ActiveHostCounter.cpp
+++ b/packages/membership/src/ActiveHostCounter.cpp
@@ -24,9 +24,9 @@
     const PeerAddress address = it.mHost.Peer();
     const auto known = mCountedHosts.find(address);
     if (IsLive(it)) {
-      mCountedHosts[address] = { it.mHost.mId, true, {} };
+      mCountedHosts[address] = { it.mHost, true, {} };
     } else if (known != mCountedHosts.end() &&
-               known->second.mHost == it.mHost.mId) {
+               known->second.mHost.mId == it.mHost.mId) {
       if (it.mState == HostState::Leaving) {
         mCountedHosts.erase(known);
       } else if (known->second.mIsLive) {
@@ -37,14 +37,20 @@
   }
 }
 
+std::vector<HostIdentity> ActiveHostCounter::Hosts(base::TimePoint aNow) const
+{
+  std::vector<HostIdentity> hosts;
+  for (const auto& [address, host] : mCountedHosts) {
+    if (host.mIsLive || aNow - host.mSilentSince < kSilentHostRetention) {
+      hosts.push_back(host.mHost);
+    }
+  }
+  return hosts;
+}
+
 std::size_t ActiveHostCounter::Count(base::TimePoint aNow) const
 {
-  const auto n = std::count_if(
-    mCountedHosts.begin(), mCountedHosts.end(), [&](const auto& aEntry) {
-      const CountedHost& host = aEntry.second;
-      return host.mIsLive || aNow - host.mSilentSince < kSilentHostRetention;
-    });
-  return std::max<std::size_t>(static_cast<std::size_t>(n), 1);
+  return std::max<std::size_t>(Hosts(aNow).size(), 1);
 }
 
 } // namespace auburnmux::membership
--- a/packages/membership/src/ActiveHostCounter.h
+++ b/packages/membership/src/ActiveHostCounter.h
@@ -3,6 +3,7 @@
 #include "membership/src/Membership.h"
 
 #include <map>
+#include <vector>
 
 namespace auburnmux::membership {
 
@@ -19,11 +20,13 @@
   void OnView(base::TimePoint aNow, const std::vector<HostView>& aView);
   /** \returns the number of hosts that may be using their share, at least 1. */
   std::size_t Count(base::TimePoint aNow) const;
+  /** \returns the hosts that may be using their share. */
+  std::vector<HostIdentity> Hosts(base::TimePoint aNow) const;
 
 private:
   struct CountedHost
   {
-    base::HostId mHost;
+    HostIdentity mHost;
     bool mIsLive = true;
     base::TimePoint mSilentSince;
   };
--- a/packages/placing/Placing.h
+++ b/packages/placing/Placing.h
@@ -20,4 +20,6 @@
 
 #include "placing/src/LoadMeter.h"
 
+#include "placing/src/LimitShare.h"
+
 #include "placing/src/Placement.h"
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -17,6 +17,10 @@
 /** Retry-After without an estimate of the wait; otherwise added to it. */
 constexpr base::Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
 
+/** Limit on the wait that a Retry-After is derived from. The part of a limit
+ * that this host has may be small while another host has room. */
+constexpr base::Duration kMaxExpectedWait = std::chrono::seconds(2);
+
 constexpr double kBytesPerKilobyte = 1000;
 
 /** \returns a hash of the object in [0, 1), independent of the hashes that
@@ -157,11 +161,15 @@
                                 : std::optional(it->second->mSpec.mService);
 }
 
-void Placement::SetHostCounts(const HostCounts& aCounts)
+void Placement::SetHostCounts(base::TimePoint aNow, const HostCounts& aCounts)
 {
   mHostCounts = aCounts;
   for (const auto& [id, upstream] : mUpstreams) {
     upstream->mColdTokens.SetRate(ColdRate(upstream->mSpec));
+    if (auto& limit = upstream->mLimit) {
+      limit->mShare = ShareOf(*upstream, limit->mRate);
+      limit->mTokens.Configure(aNow, limit->mShare.mRate, limit->mShare.mBurst);
+    }
   }
 }
 
@@ -227,7 +235,8 @@
   if (!IsAllowed(aUpstream, aRequest)) {
     return false;
   }
-  if (Contains(aRequest.mTried, aUpstream.mSpec.mId)) {
+  if (Contains(aRequest.mTried, aUpstream.mSpec.mId) ||
+      IsShutOut(aNow, aUpstream)) {
     return false;
   }
   const bool isLimited =
@@ -338,18 +347,21 @@
                                    aUpstream.mSpec.mRegion == mRegion
                                      ? mHostCounts.mRegion
                                      : mHostCounts.mLive };
-  const base::Duration wait =
-    tracker.ExpectedWait(aNow, loadFallback, aUpstream.mQueued);
-  candidate.mHasCapacity = tracker.HasCapacity(aNow, loadFallback);
+  const base::Duration limitWait = LimitWait(aNow, aUpstream);
+  const base::Duration wait = std::max(
+    limitWait, tracker.ExpectedWait(aNow, loadFallback, aUpstream.mQueued));
+  candidate.mHasCapacity = limitWait == base::Duration::zero() &&
+                           tracker.HasCapacity(aNow, loadFallback);
   candidate.mWork = Scale(work, tracker.Slowness(aNow));
   candidate.mExpected =
     RoundTrip(aUpstream) + wait +
     Scale(candidate.mWork, std::max(1.0, tracker.WorkTimeRatio()));
   // A request isn't refused if a slot is free or if this kind of work was never
   // measured, because the estimate may be too high.
-  candidate.mIsTooLate = wait > base::Duration::zero() &&
-                         mWorkEstimates.IsKnown(aRequest.mKind) &&
-                         candidate.mExpected > aRequest.mTimeLeft;
+  candidate.mIsTooLate =
+    limitWait > aRequest.mTimeLeft ||
+    (wait > base::Duration::zero() && mWorkEstimates.IsKnown(aRequest.mKind) &&
+     candidate.mExpected > aRequest.mTimeLeft);
   // Only failures above the mean of the service count, so that failures of all
   // upstreams don't move requests away from warm ones.
   const double failures =
@@ -434,7 +446,8 @@
     return NoUpstream{ kDefaultRetryAfter };
   }
   if (best.mIsTooLate) {
-    return NoCapacity{ best.mExpected - aRequest.mTimeLeft +
+    return NoCapacity{ std::min(best.mExpected - aRequest.mTimeLeft,
+                                kMaxExpectedWait) +
                        kDefaultRetryAfter };
   }
   Upstream& upstream = *best.mUpstream;
@@ -447,6 +460,9 @@
   if (upstream.mColdUntil > aNow && upstream.mSpec.mColdRate > 0) {
     upstream.mColdTokens.Take(aNow);
   }
+  if (upstream.mLimit && upstream.mLimit->mShare.mRate > 0) {
+    upstream.mLimit->mTokens.Take(aNow);
+  }
   if (aRequest.mObject) {
     upstream.mWarm.Touch(*aRequest.mObject);
   }
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "placing/src/LimitShare.h"
 #include "placing/src/LoadMeter.h"
 #include "placing/src/LoadReport.h"
 #include "placing/src/LocalHomeShare.h"
@@ -108,6 +109,10 @@
   /** Data centres in this host's region. */
   std::size_t mRegionCentres = 1;
   std::size_t mRegions = 1;
+  /** This host, and all hosts among which limits named by upstreams are
+   * divided. Without a list this host counts as the only one. */
+  base::HostId mSelf;
+  std::vector<LimitSharer> mLimitSharers;
 };
 
 /** How a request ended at its upstream. */
@@ -157,7 +162,19 @@
   void SetColdRates(
     const std::function<double(const base::ServiceId&)>& aRateOf);
   /** Sets the numbers of hosts, which determine this host's part of limits. */
-  void SetHostCounts(const HostCounts& aCounts);
+  void SetHostCounts(base::TimePoint aNow, const HostCounts& aCounts);
+  /**
+   * Applies a limit on the requests per second of all hosts together that an
+   * upstream named in a response; none if it named no limit. A limit holds
+   * until a response to a request sent at \a aSentAt, after the limit was last
+   * named, doesn't name it: responses can arrive in another order. A host that
+   * has no part of the limit forgets it after a minute.
+   * \returns whether a limit was set, changed by more than a tenth, or lifted
+   */
+  bool OnLimit(base::TimePoint aNow, const base::UpstreamId& aId,
+               std::optional<double> aLimit, base::TimePoint aSentAt);
+  /** \returns this host's part of the upstream's limit, if it named one. */
+  std::optional<LimitShare> LimitShareOf(const base::UpstreamId& aId) const;
   /** Records a measured round trip to the upstream's data centre. */
   void OnRoundTrip(const base::UpstreamId& aUpstream,
                    base::Duration aRoundTrip);
@@ -188,6 +205,14 @@
   const UpstreamTracker* Tracker(const base::UpstreamId& aId) const;
 
 private:
+  /** A limit that an upstream named. */
+  struct Limit
+  {
+    double mRate = 0;
+    base::TimePoint mNamedAt;
+    LimitShare mShare;
+    TokenBucket mTokens{ 0, 1 };
+  };
   struct Upstream
   {
     UpstreamSpec mSpec;
@@ -200,6 +225,7 @@
     WarmObjects mWarm;
     /** Requests that wait on this host for the upstream. */
     std::uint32_t mQueued = 0;
+    std::optional<Limit> mLimit;
   };
   struct Candidate
   {
@@ -260,6 +286,13 @@
   base::Duration TransferCost(const Upstream& aUpstream,
                               base::ByteCount aBytes) const;
   double ColdRate(const UpstreamSpec& aSpec) const;
+  LimitShare ShareOf(const Upstream& aUpstream, double aLimit) const;
+  /** \returns whether this host has no part of the upstream's limit. */
+  static bool IsShutOut(base::TimePoint aNow, const Upstream& aUpstream);
+  /** \returns the time until the upstream's limit allows another request,
+   * behind those that wait on this host for it. */
+  static base::Duration LimitWait(base::TimePoint aNow,
+                                  const Upstream& aUpstream);
 
   PlacingSettings mSettings;
   base::DataCentreId mDataCentre;
--- a/packages/placing/src/TokenBucket.h
+++ b/packages/placing/src/TokenBucket.h
@@ -19,6 +19,29 @@
   }
 
   void SetRate(double aRate) { mRate = aRate; }
+  /** Changes the rate and the burst from now on. */
+  void Configure(base::TimePoint aNow, double aRate, double aBurst)
+  {
+    mTokens = std::min(TokensAt(aNow), aBurst);
+    mUpdatedAt = aNow;
+    mRate = aRate;
+    mBurst = aBurst;
+  }
+  /** Removes all tokens. */
+  void Clear(base::TimePoint aNow)
+  {
+    mTokens = 0;
+    mUpdatedAt = aNow;
+  }
+
+  /** \returns the time until \a aCount events are allowed. \pre the rate is
+   * above 0 */
+  base::Duration TimeUntil(base::TimePoint aNow, double aCount) const
+  {
+    const double missing = std::max(0.0, aCount - TokensAt(aNow));
+    return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(missing / mRate));
+  }
 
   bool CanTake(base::TimePoint aNow) const { return TokensAt(aNow) >= 1; }
   /** \pre CanTake() */
--- a/packages/placing/test/PlacementTest.cpp
+++ b/packages/placing/test/PlacementTest.cpp
@@ -146,7 +146,7 @@
       UpstreamSpec spec = MakeSpec("cold", "here");
       spec.mSlots = base::SlotCount(100);
       spec.mColdRate = kRate;
-      placements.back().SetHostCounts({ hosts, hosts, hosts });
+      placements.back().SetHostCounts(At(0), { hosts, hosts, hosts });
       placements.back().Add(At(0), spec, std::chrono::seconds(10));
     }
     std::vector<int> sent;
--- a/packages/placing/test/TrafficSimulation.cpp
+++ b/packages/placing/test/TrafficSimulation.cpp
@@ -91,8 +91,8 @@
     const std::size_t all =
       region * static_cast<std::size_t>(mSettings.mRegions);
     mHosts.back()->mPlacement.SetHostCounts(
-      { all, region, all, region, 1,
-        static_cast<std::size_t>(mSettings.mRegions) });
+      kStart, { all, region, all, region, 1,
+                static_cast<std::size_t>(mSettings.mRegions) });
     for (const auto& it : mUpstreams) {
       mHosts.back()->mPlacement.Add(base::TimePoint(), it->mSpec, {});
     }
