Send an upstream nothing for the time that its rejection names

What upstreams would see: requests of a host that they had just rejected with 503 and a Retry-After, which by the users' newest contract asks that host for a pause. The field was not read. Its class is that of the limits: an upstream says what it takes, and nothing listens.

Change: an upstream that names a Retry-After in a 503 is not selected until then. Objects keep their homes, so that the pause costs no cold work elsewhere for longer than it lasts.

--- a/packages/entry/src/Attempt.cpp
+++ b/packages/entry/src/Attempt.cpp
@@ -44,13 +44,29 @@
   if (mFields.mIsLeaving) {
     mServices.mReportLeaving(mPlace.mUpstream, mStart);
   }
-  const bool isChanged = mServices.mPlacement.OnLimit(
-    mServices.mLoop.Now(), mPlace.mUpstream, mFields.mLimit, mStart);
+  const base::TimePoint now = mServices.mLoop.Now();
+  if (mFields.mRetryAfter) {
+    mServices.mPlacement.OnRetryAfter(now, mPlace.mUpstream,
+                                      *mFields.mRetryAfter);
+    LogRetryAfter();
+  }
+  const bool isChanged =
+    mServices.mPlacement.OnLimit(now, mPlace.mUpstream, mFields.mLimit, mStart);
   if (isChanged) {
     LogLimit();
   }
 }
 
+void Attempt::LogRetryAfter() const
+{
+  base::LogInfo(
+    base::LogLine("upstream_refuses")
+      .With("id", mPlace.mUpstream)
+      .With("ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                    *mFields.mRetryAfter)
+                    .count()));
+}
+
 void Attempt::LogLimit() const
 {
   base::LogLine line("upstream_limit");
--- a/packages/entry/src/Attempt.h
+++ b/packages/entry/src/Attempt.h
@@ -61,6 +61,8 @@
 private:
   /** Applies what the head states about the upstream itself. */
   void ReportUpstream();
+  /** Logs for how long the upstream wants no requests. */
+  void LogRetryAfter() const;
   /** Logs the limit that the upstream named or no longer names. */
   void LogLimit() const;
 
--- a/packages/entry/src/Translator.h
+++ b/packages/entry/src/Translator.h
@@ -29,6 +29,9 @@
   bool mIsOtherUpstream = false;
   /** The upstream is draining and wants no new requests. */
   bool mIsLeaving = false;
+  /** Time for which the upstream wants no requests of this host, named in a
+   * rejection. */
+  std::optional<base::Duration> mRetryAfter;
   /** Requests per second that the upstream takes from all hosts together. */
   std::optional<double> mLimit;
   std::optional<placing::LoadReport> mLoad;
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -236,7 +236,7 @@
     return false;
   }
   if (Contains(aRequest.mTried, aUpstream.mSpec.mId) ||
-      IsShutOut(aNow, aUpstream)) {
+      aNow < aUpstream.mRefusesUntil || IsShutOut(aNow, aUpstream)) {
     return false;
   }
   const bool isLimited =
@@ -428,6 +428,20 @@
   return best.mUpstream != nullptr ? best : fallback;
 }
 
+base::Duration Placement::TimeUntilUsable(base::TimePoint aNow,
+                                          const Service& aService)
+{
+  base::Duration shortest = kMaxExpectedWait;
+  bool isKnown = false;
+  for (const Upstream* it : aService.mUpstreams) {
+    if (aNow < it->mRefusesUntil) {
+      shortest = std::min(shortest, it->mRefusesUntil - aNow);
+      isKnown = true;
+    }
+  }
+  return isKnown ? shortest : kDefaultRetryAfter;
+}
+
 PlaceDecision Placement::Place(base::TimePoint aNow,
                                const PlaceRequest& aRequest)
 {
@@ -443,7 +457,7 @@
   UpdateHomeShare(aNow, service->second);
   const Candidate best = BestCandidate(aNow, service->second, aRequest);
   if (best.mUpstream == nullptr) {
-    return NoUpstream{ kDefaultRetryAfter };
+    return NoUpstream{ TimeUntilUsable(aNow, service->second) };
   }
   if (best.mIsTooLate) {
     return NoCapacity{ std::min(best.mExpected - aRequest.mTimeLeft,
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -163,6 +163,9 @@
     const std::function<double(const base::ServiceId&)>& aRateOf);
   /** Sets the numbers of hosts, which determine this host's part of limits. */
   void SetHostCounts(base::TimePoint aNow, const HostCounts& aCounts);
+  /** The upstream rejected a request and wants no others for \a aTime. */
+  void OnRetryAfter(base::TimePoint aNow, const base::UpstreamId& aId,
+                    base::Duration aTime);
   /**
    * Applies a limit on the requests per second of all hosts together that an
    * upstream named in a response; none if it named no limit. A limit holds
@@ -226,6 +229,8 @@
     /** Requests that wait on this host for the upstream. */
     std::uint32_t mQueued = 0;
     std::optional<Limit> mLimit;
+    /** Until when it wants no requests of this host. */
+    base::TimePoint mRefusesUntil;
   };
   struct Candidate
   {
@@ -287,6 +292,10 @@
                               base::ByteCount aBytes) const;
   double ColdRate(const UpstreamSpec& aSpec) const;
   LimitShare ShareOf(const Upstream& aUpstream, double aLimit) const;
+  /** \returns when the first upstream of a service that has none to use takes
+   * requests again, as far as that is known. */
+  static base::Duration TimeUntilUsable(base::TimePoint aNow,
+                                        const Service& aService);
   /** \returns whether this host has no part of the upstream's limit. */
   static bool IsShutOut(base::TimePoint aNow, const Upstream& aUpstream);
   /** \returns the time until the upstream's limit allows another request,
--- a/packages/placing/src/PlacementLimits.cpp
+++ b/packages/placing/src/PlacementLimits.cpp
@@ -1,5 +1,6 @@
 #include "placing/src/Placement.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -23,6 +24,14 @@
                         mHostCounts.mLimitSharers);
 }
 
+void Placement::OnRetryAfter(base::TimePoint aNow, const base::UpstreamId& aId,
+                             base::Duration aTime)
+{
+  if (Upstream* upstream = Find(aId)) {
+    upstream->mRefusesUntil = std::max(upstream->mRefusesUntil, aNow + aTime);
+  }
+}
+
 bool Placement::OnLimit(base::TimePoint aNow, const base::UpstreamId& aId,
                         std::optional<double> aLimit, base::TimePoint aSentAt)
 {
--- a/packages/placing/test/LimitShareTest.cpp
+++ b/packages/placing/test/LimitShareTest.cpp
@@ -244,3 +244,26 @@
   CHECK_TRUE(refusal != nullptr);
   CHECK_TRUE(refusal->mRetryAfter >= milliseconds(1000));
 }
+
+// Guards against requests to an upstream that rejected one and named the time
+// for which it wants no others.
+TEST(LimitShare, UpstreamThatNamedARetryAfterGetsNothingUntilThen)
+{
+  Placement placement({}, base::DataCentreId("a"), kRegion);
+  placement.Add(At(0),
+                { kUpstream, base::ServiceId("core"), base::DataCentreId("a"),
+                  kRegion, base::SlotCount(4) },
+                {});
+  placement.OnRetryAfter(At(0), kUpstream, milliseconds(1500));
+  PlaceRequest request;
+  request.mService = base::ServiceId("core");
+  request.mKind = "check";
+  request.mLatencyTarget = milliseconds(300);
+  request.mTimeLeft = milliseconds(5000);
+  const PlaceDecision early = placement.Place(At(500), request);
+  const auto* refusal = std::get_if<NoUpstream>(&early);
+  CHECK_TRUE(refusal != nullptr);
+  CHECK_TRUE(refusal->mRetryAfter == milliseconds(1000));
+  const PlaceDecision late = placement.Place(At(1500), request);
+  CHECK_TRUE(std::holds_alternative<Placed>(late));
+}
