Skip responses without an id on connections that carried requests before

Report of other operators: a faulty upstream wrote an earlier refusal once more on a kept connection; clients were told 'not run' for requests that had run, or these ran a second time elsewhere.

Here: a response with another request's id was skipped already, and bytes on an idle connection close it. But a response without an id was taken for the answer to whichever request waited. A repeated refusal without an id would have ended a request that ran as 'not run'.

Change: a response without an id is taken only for the first request of a connection, which has no earlier response that could come again. Upstreams echo the id by their contract.

Http.ResponsesOnReusedConnectionsAreTold is new.

--- a/packages/entry/src/RequestForwarderSelection.cpp
+++ b/packages/entry/src/RequestForwarderSelection.cpp
@@ -114,8 +114,9 @@
   }
   request.mConnectTimeout = kConnectTimeout;
   request.mIsOwnResponse = [translator = &mServices.mTranslator,
-                            id = mFields.mId](const http::ResponseHead& aHead) {
-    return translator->IsResponseTo(aHead, id);
+                            id = mFields.mId](const http::ResponseHead& aHead,
+                                              bool aIsFirstRequest) {
+    return translator->IsResponseTo(aHead, id, aIsFirstRequest);
   };
   return request;
 }
--- a/packages/entry/src/Translator.h
+++ b/packages/entry/src/Translator.h
@@ -60,9 +60,14 @@
                             const base::UpstreamId& aUpstream) const = 0;
   virtual ResponseFields ReadResponse(
     const http::ResponseHead& aHead) const = 0;
-  /** \returns whether the response belongs to the request with \a aId. */
+  /**
+   * \returns whether the response belongs to the request with \a aId. One
+   * without an id does only if the request is the first one of its connection:
+   * otherwise it may be an earlier response that was sent again.
+   */
   virtual bool IsResponseTo(const http::ResponseHead& aHead,
-                            const std::string& aId) const = 0;
+                            const std::string& aId,
+                            bool aIsFirstRequest) const = 0;
   virtual HealthFields ReadHealth(const http::ResponseHead& aHead) const = 0;
 };
 
--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -101,10 +101,11 @@
   base::Duration mConnectTimeout = std::chrono::seconds(2);
   /**
    * Returns whether a response belongs to this request. Responses to earlier
-   * requests, which an upstream may send late, are read and discarded. If
-   * unset, every response is accepted.
+   * requests, which an upstream may send late or again, are read and discarded.
+   * There are none on a connection that carries its first request. If unset,
+   * every response is accepted.
    */
-  std::function<bool(const ResponseHead&)> mIsOwnResponse;
+  std::function<bool(const ResponseHead&, bool aIsFirstRequest)> mIsOwnResponse;
 };
 
 /** Limits and timeouts of a Client's connections. */
--- a/packages/http/src/HttpClientConnection.cpp
+++ b/packages/http/src/HttpClientConnection.cpp
@@ -309,7 +309,7 @@
     mIdleLimit = *idle - mOptions.mKeepAliveMargin;
   }
   const auto& isOwn = mExchange->Request().mIsOwnResponse;
-  mIsForeign = isOwn && !isOwn(head);
+  mIsForeign = isOwn && !isOwn(head, !mExchange->IsOnReusedConnection());
   mHasSeenForeignResponse = mHasSeenForeignResponse || mIsForeign;
   if (!mIsForeign) {
     const auto exchange = mExchange;
--- a/packages/http/src/HttpClientConnection.h
+++ b/packages/http/src/HttpClientConnection.h
@@ -35,6 +35,8 @@
 
   const ClientRequest& Request() const { return mRequest; }
   bool IsPaused() const { return mIsPaused; }
+  /** \returns whether its connection carried other requests before. */
+  bool IsOnReusedConnection() const { return mIdleBefore.has_value(); }
   /** \returns whether the whole request was queued for sending. */
   bool IsRequestComplete() const { return mIsRequestComplete; }
 
--- a/packages/http/test/EndlessBytesTest.cpp
+++ b/packages/http/test/EndlessBytesTest.cpp
@@ -62,7 +62,8 @@
   FetchResult Fetch()
   {
     http::ClientRequest request{ { "127.0.0.1", kPort }, "GET", "/" };
-    request.mIsOwnResponse = [](const http::ResponseHead& aHead) {
+    request.mIsOwnResponse = [](const http::ResponseHead& aHead,
+                                bool /*aIsFirstRequest*/) {
       return !aHead.mHeaders.Find("foreign");
     };
     FetchResult result;
--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -396,12 +396,34 @@
                    "HTTP/1.1 200 OK\r\nid: new\r\ncontent-length: 5\r\n\r\n"
                    "fresh");
   http::ClientRequest request{ { kAddress, port } };
-  request.mIsOwnResponse = [](const http::ResponseHead& aHead) {
+  request.mIsOwnResponse = [](const http::ResponseHead& aHead,
+                              bool /*aIsFirstRequest*/) {
     return aHead.mHeaders.Find("id") == "new";
   };
   STRCMP_EQUAL("fresh", Fetch(request).mBody.c_str());
 }
 
+// Guards against taking an earlier response that a server wrote again for the
+// response to this request: only the first request of a connection has none
+// before it.
+TEST(Http, ResponsesOnReusedConnectionsAreTold)
+{
+  const base::PortNumber port(19224);
+  const auto server = Echo(port);
+  std::vector<bool> isFirst;
+  http::ClientRequest request{ { kAddress, port }, "GET", "/" };
+  request.mIsOwnResponse = [&isFirst](const http::ResponseHead& /*aHead*/,
+                                      bool aIsFirstRequest) {
+    isFirst.push_back(aIsFirstRequest);
+    return true;
+  };
+  CHECK_TRUE(Fetch(request).IsOk());
+  CHECK_TRUE(Fetch(request).IsOk());
+  CHECK_EQUAL(2U, isFirst.size());
+  CHECK_TRUE(isFirst[0]);
+  CHECK_FALSE(isFirst[1]);
+}
+
 // Guards against a fault that the platform's path test found: a response
 // without a body was complete only when its connection closed or the caller
 // timed out.
