Test that a response whose head ends early is a failure

Report of other operators: an upstream stopped in the middle of its response's head and closed; clients got a 200 with an empty or short body, framed as whole.

Here: it does not happen. Http.HeadThatEndsEarlyIsAFailure cuts a response at each of the 61 places in its head; each is a failure that may have reached the upstream. It passed on the reader as it was; entry and daemon share it.

--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -369,6 +369,22 @@
   }
 }
 
+// Guards against a success with an empty or short body when the server stops in
+// the middle of its head and closes.
+TEST(Http, HeadThatEndsEarlyIsAFailure)
+{
+  const std::string response = "HTTP/1.1 200 OK\r\nresponse-signature: s\r\n"
+                               "content-length: 12\r\n\r\n";
+  constexpr std::uint16_t kFirstPort = 19500;
+  for (std::size_t n = 1; n < response.size(); ++n) {
+    const base::PortNumber port(static_cast<std::uint16_t>(kFirstPort + n));
+    RawServer server(mLoop, port, response.substr(0, n));
+    const FetchResult result = Fetch({ { kAddress, port } });
+    CHECK_TRUE_TEXT(result.mFailure.has_value(), response.substr(0, n).c_str());
+    CHECK_TRUE(result.mFailure->mMayHaveReached);
+  }
+}
+
 // Guards against rejecting a response without a length, and against reporting
 // one as complete although its connection was reset.
 TEST(Http, ConnectionEndsResponseWithoutLength)
