Make NamedLimit a type of its own, and reserve its list of hosts

Findings of clang-tidy on the code for limits: clang can't construct an optional of a nested aggregate whose members have default values, and a vector was grown in a loop.

--- a/packages/placing/src/LimitShare.cpp
+++ b/packages/placing/src/LimitShare.cpp
@@ -35,6 +35,7 @@
     bool mIsSelf = false;
   };
   std::vector<Ranked> ranked;
+  ranked.reserve(aSharers.size());
   const std::uint64_t upstream = base::Hash64(aUpstream.Text());
   for (const LimitSharer& it : aSharers) {
     ranked.push_back(
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -115,6 +115,17 @@
   std::vector<LimitSharer> mLimitSharers;
 };
 
+/** A limit that an upstream named, and this host's part of it. */
+struct NamedLimit
+{
+  /** Requests per second of all hosts together. */
+  double mRate = 0;
+  /** When a response last named it. */
+  base::TimePoint mNamedAt;
+  LimitShare mShare;
+  TokenBucket mTokens{ 0, 1 };
+};
+
 /** How a request ended at its upstream. */
 struct PlacedResult
 {
@@ -208,14 +219,6 @@
   const UpstreamTracker* Tracker(const base::UpstreamId& aId) const;
 
 private:
-  /** A limit that an upstream named. */
-  struct Limit
-  {
-    double mRate = 0;
-    base::TimePoint mNamedAt;
-    LimitShare mShare;
-    TokenBucket mTokens{ 0, 1 };
-  };
   struct Upstream
   {
     UpstreamSpec mSpec;
@@ -228,7 +231,7 @@
     WarmObjects mWarm;
     /** Requests that wait on this host for the upstream. */
     std::uint32_t mQueued = 0;
-    std::optional<Limit> mLimit;
+    std::optional<NamedLimit> mLimit;
     /** Until when it wants no requests of this host. */
     base::TimePoint mRefusesUntil;
   };
--- a/packages/placing/src/PlacementLimits.cpp
+++ b/packages/placing/src/PlacementLimits.cpp
@@ -40,7 +40,7 @@
   if (upstream == nullptr) {
     return false;
   }
-  std::optional<Limit>& limit = upstream->mLimit;
+  std::optional<NamedLimit>& limit = upstream->mLimit;
   if (!aLimit) {
     const bool isLifted = limit && aSentAt > limit->mNamedAt;
     if (isLifted) {
