Let the soak silence the hosts' connections to the store

The stand-in link can now hold the bytes of the open connections for good while new ones work; the soak does so for all hosts once in each span of faults, drawn apart from the other faults, so that these stay the same for a seed.

--- a/soak/src/Schedule.cpp
+++ b/soak/src/Schedule.cpp
@@ -1,5 +1,6 @@
 #include "soak/src/Schedule.h"
 
+#include <algorithm>
 #include <array>
 #include <sstream>
 
@@ -61,7 +62,8 @@
                                          "one_way_upstream",
                                          "crash_upstream",
                                          "lose_responses",
-                                         "shed_requests" };
+                                         "shed_requests",
+                                         "silence_store" };
   return kNames[static_cast<std::size_t>(aKind)];
 }
 
@@ -70,6 +72,32 @@
   return aKind <= FaultKind::Evacuate;
 }
 
+namespace {
+
+/** Silences the hosts' connections to the store once in each span of faults.
+ * Drawn apart from the other faults, which stay the same for a seed. */
+void AddSilences(std::uint64_t aSeed, base::Duration aLength,
+                 bool aStartsPlanned, std::vector<Fault>& aSchedule)
+{
+  base::Random random(base::CombineHash(aSeed, base::Hash64("silence")));
+  for (base::Duration span = aStartsPlanned ? kSpan : base::Duration{};
+       span < aLength - kQuietEnd; span += 2 * kSpan) {
+    Fault fault;
+    fault.mKind = FaultKind::SilenceStoreConnections;
+    fault.mAt = span + DrawTime(random, 500, 3500);
+    fault.mTarget = random.Next();
+    if (fault.mAt < aLength - kQuietEnd) {
+      aSchedule.push_back(fault);
+    }
+  }
+  std::stable_sort(aSchedule.begin(), aSchedule.end(),
+                   [](const Fault& aLeft, const Fault& aRight) {
+                     return aLeft.mAt < aRight.mAt;
+                   });
+}
+
+} // namespace
+
 std::vector<Fault> DrawSchedule(std::uint64_t aSeed, base::Duration aLength)
 {
   base::Random random(aSeed);
@@ -87,6 +115,7 @@
     schedule.push_back(fault);
     at += DrawTime(random, 100, 1200);
   }
+  AddSilences(aSeed, aLength, startsPlanned, schedule);
   return schedule;
 }
 
--- a/soak/src/Schedule.h
+++ b/soak/src/Schedule.h
@@ -27,7 +27,8 @@
   OneWayUpstreamLink,
   CrashUpstream,
   LoseResponses,
-  ShedRequests
+  ShedRequests,
+  SilenceStoreConnections
 };
 
 /** \returns the kind as it stands in the printed schedule. */
--- a/soak/src/Soak.cpp
+++ b/soak/src/Soak.cpp
@@ -341,6 +341,11 @@
       StrikeLink(host.StoreLink(), { { "cut", true } }, { { "cut", false } },
                  aFault.mFor);
       break;
+    case FaultKind::SilenceStoreConnections:
+      for (const auto& it : mHosts) {
+        it->StoreLink().SilenceConnections();
+      }
+      break;
     case FaultKind::FreezeUpstreamLink:
       StrikeLink(upstream.Link(), { { "frozen", true } },
                  { { "frozen", false } }, aFault.mFor);
--- a/standins/src/Link.cpp
+++ b/standins/src/Link.cpp
@@ -101,6 +101,14 @@
   }
 }
 
+void Link::SilenceConnections()
+{
+  for (const auto& it : mConnections) {
+    it->mForward->Silence();
+    it->mBackward->Silence();
+  }
+}
+
 Json Link::Stats() const
 {
   return { { "to", mTo.mAddress + ':' + std::to_string(mTo.mPort.Count()) },
--- a/standins/src/Link.h
+++ b/standins/src/Link.h
@@ -24,6 +24,8 @@
    * that still works, anything else means both) and `delay_ms` (each way).
    */
   void Configure(const Json& aChange);
+  /** Silences the open connections for good; new ones work. */
+  void SilenceConnections();
   Json Stats() const;
 
 private:
--- a/standins/src/LinkPipe.cpp
+++ b/standins/src/LinkPipe.cpp
@@ -47,10 +47,16 @@
   WatchIfWanted();
 }
 
+void LinkPipe::Silence()
+{
+  mIsSilent = true;
+  WatchIfWanted();
+}
+
 void LinkPipe::WatchIfWanted()
 {
   const bool isWanted =
-    !mIsAtEnd && !mFaults.mIsHeld && mQueuedBytes < kMaxQueuedBytes;
+    !mIsAtEnd && !IsHeld() && mQueuedBytes < kMaxQueuedBytes;
   if (isWanted && !mWatch) {
     mWatch = mLoop.Watch(mFrom, [this] { Read(); });
   } else if (!isWanted && mWatch) {
@@ -76,8 +82,7 @@
 
 void LinkPipe::WriteDue()
 {
-  while (!mQueue.empty() && !mFaults.mIsHeld &&
-         mQueue.front().mDue <= mLoop.Now()) {
+  while (!mQueue.empty() && !IsHeld() && mQueue.front().mDue <= mLoop.Now()) {
     std::string& bytes = mQueue.front().mBytes;
     const ssize_t n =
       send(mTo, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -104,7 +109,7 @@
 
 void LinkPipe::ScheduleWrite()
 {
-  if (!mTimer && !mFaults.mIsHeld) {
+  if (!mTimer && !IsHeld()) {
     mTimer = mLoop.After(
       std::max(mQueue.front().mDue - mLoop.Now(), kRetryWrite), [this] {
         mTimer.reset();
--- a/standins/src/LinkPipe.h
+++ b/standins/src/LinkPipe.h
@@ -30,6 +30,8 @@
 
   /** Goes on under the faults that are now in force. */
   void Update();
+  /** Holds all bytes from now on, for good; neither side is told. */
+  void Silence();
 
 private:
   struct Chunk
@@ -38,6 +40,7 @@
     std::string mBytes;
   };
 
+  bool IsHeld() const { return mFaults.mIsHeld || mIsSilent; }
   void Read();
   void WriteDue();
   void WatchIfWanted();
@@ -52,6 +55,7 @@
   std::deque<Chunk> mQueue;
   std::size_t mQueuedBytes = 0;
   bool mIsAtEnd = false;
+  bool mIsSilent = false;
   std::optional<http::Loop::WatchId> mWatch;
   std::optional<http::Loop::TimerId> mTimer;
 };
