Derive Retry-After from the whole wait unless a limit causes it

A client refused because of a long queue would have been told to come back before it had cleared.

Change: the bound holds only where the upstream's limit causes the wait.

--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -17,9 +17,9 @@
 /** Retry-After without an estimate of the wait; otherwise added to it. */
 constexpr base::Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
 
-/** Limit on the wait that a Retry-After is derived from. The part of a limit
- * that this host has may be small while another host has room. */
-constexpr base::Duration kMaxExpectedWait = std::chrono::seconds(2);
+/** Longest Retry-After that is derived from what an upstream takes from this
+ * host. Another host may have room earlier. */
+constexpr base::Duration kMaxLimitRetryAfter = std::chrono::seconds(2);
 
 constexpr double kBytesPerKilobyte = 1000;
 
@@ -350,8 +350,9 @@
   const base::Duration limitWait = LimitWait(aNow, aUpstream);
   const base::Duration wait = std::max(
     limitWait, tracker.ExpectedWait(aNow, loadFallback, aUpstream.mQueued));
-  candidate.mHasCapacity = limitWait == base::Duration::zero() &&
-                           tracker.HasCapacity(aNow, loadFallback);
+  candidate.mIsLimited = limitWait > base::Duration::zero();
+  candidate.mHasCapacity =
+    !candidate.mIsLimited && tracker.HasCapacity(aNow, loadFallback);
   candidate.mWork = Scale(work, tracker.Slowness(aNow));
   candidate.mExpected =
     RoundTrip(aUpstream) + wait +
@@ -431,7 +432,7 @@
 base::Duration Placement::TimeUntilUsable(base::TimePoint aNow,
                                           const Service& aService)
 {
-  base::Duration shortest = kMaxExpectedWait;
+  base::Duration shortest = kMaxLimitRetryAfter;
   bool isKnown = false;
   for (const Upstream* it : aService.mUpstreams) {
     if (aNow < it->mRefusesUntil) {
@@ -460,8 +461,9 @@
     return NoUpstream{ TimeUntilUsable(aNow, service->second) };
   }
   if (best.mIsTooLate) {
-    return NoCapacity{ std::min(best.mExpected - aRequest.mTimeLeft,
-                                kMaxExpectedWait) +
+    const base::Duration late = best.mExpected - aRequest.mTimeLeft;
+    return NoCapacity{ (best.mIsLimited ? std::min(late, kMaxLimitRetryAfter)
+                                        : late) +
                        kDefaultRetryAfter };
   }
   Upstream& upstream = *best.mUpstream;
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -243,6 +243,8 @@
     base::Duration mExpected{};
     base::Duration mWork{};
     bool mHasCapacity = false;
+    /** Whether the upstream's limit doesn't allow another request now. */
+    bool mIsLimited = false;
     /** Whether the response is expected too late to send the request. */
     bool mIsTooLate = false;
   };
--- a/packages/placing/test/PlacementTest.cpp
+++ b/packages/placing/test/PlacementTest.cpp
@@ -132,6 +132,25 @@
   }
 }
 
+// Guards against telling a client to come back before a long queue has cleared.
+TEST(Placement, RetryAfterCoversTheWholeWait)
+{
+  AddUpstreams(1, 0);
+  PlaceRequest request = MakeRequest(1);
+  const auto upstream = Place(At(0), request);
+  CHECK_TRUE(upstream.has_value());
+  Answer(At(90), request, *upstream, Outcome::Answered);
+  request.mTimeLeft = std::chrono::seconds(10);
+  for (int i = 0; i < 1000; ++i) {
+    (void)mPlacement.Place(At(100), request);
+  }
+  request.mTimeLeft = milliseconds(100);
+  const PlaceDecision decision = mPlacement.Place(At(100), request);
+  const auto* refusal = std::get_if<NoCapacity>(&decision);
+  CHECK_TRUE(refusal != nullptr);
+  CHECK_TRUE(refusal->mRetryAfter >= std::chrono::seconds(8));
+}
+
 // Guards against a cold upstream that crashes because all hosts together send
 // it more than its cold rate.
 TEST(Placement, ColdUpstreamGetsAtMostItsRate)
