Shorten the comments of new tests to one line

A header name of the platform in a test of http became a neutral one of the same length. No check changes.

--- a/packages/cluster/test/ClusterTest.cpp
+++ b/packages/cluster/test/ClusterTest.cpp
@@ -8,8 +8,6 @@
 
 TEST_GROUP(Cluster){};
 
-// Guards against declaring a live host dead because the connection to it became
-// silent: the connection is replaced, and the next heartbeat arrives, before.
 TEST(Cluster, SilentConnectionIsReplacedBeforeItsHostIsDeclaredDead)
 {
   const membership::Timing timing;
--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -369,11 +369,10 @@
   }
 }
 
-// Guards against a success with an empty or short body when the server stops in
-// the middle of its head and closes.
+// Guards against a success with an empty or short body, framed as whole.
 TEST(Http, HeadThatEndsEarlyIsAFailure)
 {
-  const std::string response = "HTTP/1.1 200 OK\r\nresponse-signature: s\r\n"
+  const std::string response = "HTTP/1.1 200 OK\r\nanother-test-field: s\r\n"
                                "content-length: 12\r\n\r\n";
   constexpr std::uint16_t kFirstPort = 19500;
   for (std::size_t n = 1; n < response.size(); ++n) {
@@ -419,9 +418,7 @@
   STRCMP_EQUAL("fresh", Fetch(request).mBody.c_str());
 }
 
-// Guards against taking an earlier response that a server wrote again for the
-// response to this request: only the first request of a connection has none
-// before it.
+// Guards against taking a repeated response for the one to a later request.
 TEST(Http, ResponsesOnReusedConnectionsAreTold)
 {
   const base::PortNumber port(19224);
--- a/packages/objects/test/PlatformClientTest.cpp
+++ b/packages/objects/test/PlatformClientTest.cpp
@@ -166,8 +166,7 @@
   STRCMP_EQUAL("prefix=a/", mScript.mLastRequest.mQuery.c_str());
 }
 
-// Guards against a watch whose connection became silent and that ended only
-// after the change it missed had to be in force, 4 s after its acceptance.
+// A change has to be in force 4 s after its acceptance.
 TEST(PlatformClient, SilentConnectionEndsBeforeAChangeIsDue)
 {
   constexpr base::Duration kChangeDue = std::chrono::seconds(4);
--- a/packages/placing/test/LimitShareTest.cpp
+++ b/packages/placing/test/LimitShareTest.cpp
@@ -180,8 +180,7 @@
   CHECK_TRUE(remote > 0);
 }
 
-// Guards against hosts that together send an upstream more than the limit that
-// it named, while hosts stop and start.
+// Guards against hosts that together exceed a limit while some stop and start.
 TEST(LimitShare, HostsThatStopAndStartKeepTheLimitOfAnUpstream)
 {
   for (const double limit : { 0.5, 2.0, 7.0, 11.0, 30.0 }) {
@@ -245,8 +244,6 @@
   CHECK_TRUE(refusal->mRetryAfter >= milliseconds(1000));
 }
 
-// Guards against requests to an upstream that rejected one and named the time
-// for which it wants no others.
 TEST(LimitShare, UpstreamThatNamedARetryAfterGetsNothingUntilThen)
 {
   Placement placement({}, base::DataCentreId("a"), kRegion);
