Replace a watch that missed a change which other hosts have

Cause: a watch of the store was trusted for its 23 s as long as its connection stayed open and the probe, on a newer connection, was answered. Ruled out: the probe as a sign of life (another connection, stale data), a shorter watch (calls grow with the fleet). Change: heartbeats carry the newest change of each kind that a host has; a copy that stays 0.8 s behind an announced change is listed anew on a new connection. No further calls while watches work.

--- a/packages/cluster/Cluster.h
+++ b/packages/cluster/Cluster.h
@@ -4,4 +4,6 @@
 
 #include "cluster/src/CrashReportCodec.h"
 
+#include "cluster/src/StateLag.h"
+
 #include "cluster/src/ClusterNode.h"
--- a/packages/cluster/src/ClusterNode.cpp
+++ b/packages/cluster/src/ClusterNode.cpp
@@ -78,6 +78,12 @@
   {
     mNode.mVersionAnnounced(ToEndpoint(aAction.mHost.Peer()), aAction.mVersion);
   }
+  void operator()(const membership::StateAnnounced& aAction) const
+  {
+    if (mNode.mStateObserver) {
+      mNode.mStateObserver(aAction.mRevisions);
+    }
+  }
 };
 
 ClusterNode::ClusterNode(http::Loop& aLoop, telemetry::Metrics& aMetrics,
@@ -135,6 +141,16 @@
   Execute(mMembership.SetConfigVersion(mLoop.Now(), aVersion));
 }
 
+void ClusterNode::SetStateRevisions(membership::StateRevisions aRevisions)
+{
+  mMembership.SetStateRevisions(std::move(aRevisions));
+}
+
+void ClusterNode::ObserveState(StateObserver aObserver)
+{
+  mStateObserver = std::move(aObserver);
+}
+
 void ClusterNode::Broadcast(const protocol::Envelope& aEnvelope)
 {
   for (const membership::HostView& it : LiveHosts()) {
--- a/packages/cluster/src/ClusterNode.h
+++ b/packages/cluster/src/ClusterNode.h
@@ -20,6 +20,7 @@
 {
 public:
   using ViewChanged = std::function<void()>;
+  using StateObserver = std::function<void(const membership::StateRevisions&)>;
   using VersionAnnounced =
     std::function<void(const http::Endpoint&, base::ConfigVersion)>;
 
@@ -36,6 +37,11 @@
   void OnPlatformList(const std::vector<membership::Candidate>& aList);
   void StartLeaving();
   void SetConfigVersion(base::ConfigVersion aVersion);
+  /** Announces the changes of the platform's state that this host has. */
+  void SetStateRevisions(membership::StateRevisions aRevisions);
+  /** Calls \a aObserver when a peer announces changes that this host hasn't
+   * announced. */
+  void ObserveState(StateObserver aObserver);
   /** Sends a message to all hosts of LiveHosts() except this one. */
   void Broadcast(const protocol::Envelope& aEnvelope);
 
@@ -71,6 +77,7 @@
   peer::Transport& mTransport;
   ViewChanged mViewChanged;
   VersionAnnounced mVersionAnnounced;
+  StateObserver mStateObserver;
   membership::Membership mMembership;
   std::vector<membership::HostView> mView;
   std::uint64_t mViewVersion = 0;
--- a/packages/cluster/src/HeartbeatCodec.cpp
+++ b/packages/cluster/src/HeartbeatCodec.cpp
@@ -113,18 +113,26 @@
   for (const membership::HostUpdate& it : aPayload.mUpdates) {
     ToWire(it, *aOut.add_updates());
   }
+  for (const membership::StateRevision& it : aPayload.mStateRevisions) {
+    aOut.add_state_revisions(it.Count());
+  }
 }
 
 template<typename Message>
 std::optional<membership::HeartbeatPayload> Decode(const Message& aMessage)
 {
   const auto limit = static_cast<int>(membership::kMaxUpdates) + 1;
-  if (aMessage.updates_size() == 0 || aMessage.updates_size() > limit) {
+  if (aMessage.updates_size() == 0 || aMessage.updates_size() > limit ||
+      aMessage.state_revisions_size() >
+        static_cast<int>(membership::kMaxStateParts)) {
     return std::nullopt;
   }
   membership::HeartbeatPayload payload;
   payload.mNumber = membership::HeartbeatNumber(aMessage.number());
   payload.mConfigVersion = base::ConfigVersion(aMessage.config_version());
+  for (const std::uint64_t it : aMessage.state_revisions()) {
+    payload.mStateRevisions.emplace_back(it);
+  }
   for (const protocol::HostUpdate& it : aMessage.updates()) {
     auto update = FromWire(it);
     if (!update) {
--- /dev/null
+++ b/packages/cluster/src/StateLag.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "membership/Membership.h"
+
+#include <optional>
+
+namespace auburnmux::cluster {
+
+/**
+ * Tells from the announcements of other hosts whether this host's copy of a
+ * part of the platform's state has missed a change.
+ *
+ * It answers the load of watches that become silent one by one: their
+ * connections stay open, other calls succeed, and nothing is reported. Hosts
+ * learn of a change within tenths of a second of each other, so a copy that
+ * stays behind an announced change for longer has missed it.
+ */
+class StateLag
+{
+public:
+  /** Another host has the change \a aAnnounced; this one has all changes up to
+   * \a aOwn. */
+  void OnAnnounced(base::TimePoint aNow, membership::StateRevision aAnnounced,
+                   membership::StateRevision aOwn);
+  /** \returns whether the copy, with all changes up to \a aOwn, has missed an
+   * announced change. */
+  bool IsBehind(base::TimePoint aNow, membership::StateRevision aOwn) const;
+  /** The copy is being read anew. */
+  void Reset() { mAwaited.reset(); }
+
+private:
+  /** The first announced change that the copy didn't have. Later ones don't
+   * replace it, so that a series of changes can't hide that it is missing. */
+  std::optional<membership::StateRevision> mAwaited;
+  base::TimePoint mAwaitedSince;
+};
+
+} // namespace auburnmux::cluster
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -411,6 +411,17 @@
   mImpl->mFront.CloseAfterResponses();
 }
 
+void EntryNode::AnnounceState(membership::StateRevisions aRevisions)
+{
+  mImpl->mCluster.SetStateRevisions(std::move(aRevisions));
+}
+
+void EntryNode::ObserveAnnouncedState(
+  std::function<void(const membership::StateRevisions&)> aObserver)
+{
+  mImpl->mCluster.ObserveState(std::move(aObserver));
+}
+
 void EntryNode::Reload(const EntrySettings& aSettings)
 {
   mImpl->mSettings.mStopGrace = aSettings.mStopGrace;
--- a/packages/membership/src/Actions.h
+++ b/packages/membership/src/Actions.h
@@ -38,8 +38,16 @@
   base::ConfigVersion mVersion;
 };
 
-using Action =
-  std::variant<SendHeartbeat, SendHeartbeatAck, HostChanged, ConfigAnnounced>;
+/** A peer has changes of the platform's state that this host hasn't announced.
+ */
+struct StateAnnounced
+{
+  HostIdentity mHost;
+  StateRevisions mRevisions;
+};
+
+using Action = std::variant<SendHeartbeat, SendHeartbeatAck, HostChanged,
+                            ConfigAnnounced, StateAnnounced>;
 using Actions = std::vector<Action>;
 
 } // namespace auburnmux::membership
--- a/packages/membership/src/Host.h
+++ b/packages/membership/src/Host.h
@@ -89,6 +89,16 @@
   bool IsMeasurement() const { return mConfirmedBy.size() == 1; }
 };
 
+/** Revision of the platform's state. */
+using StateRevision = base::Quantity<struct StateRevisionTag>;
+
+/** Newest change that a host has of each part of the platform's state; empty
+ * for a host that doesn't read it. */
+using StateRevisions = std::vector<StateRevision>;
+
+/** Maximum number of parts of the state in a message. */
+constexpr std::size_t kMaxStateParts = 8;
+
 /** Content of the messages Heartbeat and HeartbeatAck. */
 struct HeartbeatPayload
 {
@@ -98,6 +108,7 @@
   /** Configuration version in force at the sender. */
   base::ConfigVersion mConfigVersion;
   std::vector<HostUpdate> mUpdates;
+  StateRevisions mStateRevisions;
 };
 
 /** An entry of the platform's list of hosts, which may be out of date. */
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -1,11 +1,28 @@
 #include "membership/src/Membership.h"
 
 #include <algorithm>
+#include <cassert>
+#include <utility>
 
 namespace auburnmux::membership {
 
 using Dissemination = LocalView::Dissemination;
 
+namespace {
+
+/** \returns whether a part of \a aRevisions is newer than that of \a aKnown. */
+bool HasNewer(const StateRevisions& aRevisions, const StateRevisions& aKnown)
+{
+  for (std::size_t i = 0; i < aRevisions.size(); ++i) {
+    if (i >= aKnown.size() || aRevisions[i] > aKnown[i]) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
 Membership::Membership(const MembershipSettings& aSettings,
                        base::TimePoint aNow, base::Random aRandom)
   : mSettings(aSettings)
@@ -105,6 +122,12 @@
   return actions;
 }
 
+void Membership::SetStateRevisions(StateRevisions aRevisions)
+{
+  assert(aRevisions.size() <= kMaxStateParts);
+  mStateRevisions = std::move(aRevisions);
+}
+
 std::vector<HostView> Membership::View() const
 {
   std::vector<HostView> out;
@@ -140,6 +163,10 @@
     aActions.push_back(
       ConfigAnnounced{ aPayload.mSender.mHost, aPayload.mConfigVersion });
   }
+  if (HasNewer(aPayload.mStateRevisions, mStateRevisions)) {
+    aActions.push_back(
+      StateAnnounced{ aPayload.mSender.mHost, aPayload.mStateRevisions });
+  }
   return true;
 }
 
@@ -280,7 +307,7 @@
 
 HeartbeatPayload Membership::MakePayload(HeartbeatNumber aNumber) const
 {
-  return { mView.Self(), aNumber, mConfigVersion, {} };
+  return { mView.Self(), aNumber, mConfigVersion, {}, mStateRevisions };
 }
 
 HeartbeatNumber Membership::NextNumber()
--- a/packages/membership/src/Membership.h
+++ b/packages/membership/src/Membership.h
@@ -46,6 +46,9 @@
   Actions StartLeaving(base::TimePoint aNow);
   /** Announces the configuration version now in force at this host. */
   Actions SetConfigVersion(base::TimePoint aNow, base::ConfigVersion aVersion);
+  /** Sets the revisions that the heartbeats of this host announce, at most
+   * kMaxStateParts. */
+  void SetStateRevisions(StateRevisions aRevisions);
 
   /** \returns all known hosts in id order, this host included. */
   std::vector<HostView> View() const;
@@ -89,6 +92,7 @@
   ContactSelector mContactSelector;
   TableTransfers mTransfers;
   base::ConfigVersion mConfigVersion;
+  StateRevisions mStateRevisions;
   HeartbeatNumber mLastNumber;
   base::TimePoint mLastTick;
   base::TimePoint mNextHeartbeat;
--- a/packages/membership/test/MembershipTest.cpp
+++ b/packages/membership/test/MembershipTest.cpp
@@ -202,6 +202,26 @@
   }
 }
 
+// Guards against a host that misses a change of the state which others have.
+TEST(Membership, ChangesOfTheStateAreAnnouncedWithHeartbeats)
+{
+  Fleet fleet = RunningFleet(8);
+  fleet.mNodes[0].mMembership->SetStateRevisions(
+    { StateRevision(3), StateRevision(9) });
+  fleet.Run(2s);
+  const auto hasSeen = [](const auto& aNode) {
+    return std::any_of(
+      aNode.mChanges.begin(), aNode.mChanges.end(), [](const Action& aIt) {
+        const auto* seen = std::get_if<StateAnnounced>(&aIt);
+        return seen != nullptr && seen->mRevisions.size() == 2 &&
+               seen->mRevisions[1] == StateRevision(9);
+      });
+  };
+  CHECK_TRUE(
+    std::any_of(fleet.mNodes.begin() + 1, fleet.mNodes.end(), hasSeen));
+  CHECK_FALSE(hasSeen(fleet.mNodes[0]));
+}
+
 // Guards against unbounded growth from updates about hosts that don't exist.
 TEST(Membership, ClaimsAboutUnknownHostsAreBounded)
 {
