Estimate the load of upstreams without a recent report by feedback

A host hears of an upstream from its own responses only. A report of a full upstream decayed with 2 s, twenty times the work behind it; and once stale, the mean of all reports stood for the load, which is dominated by busy upstreams (1.0 requests a slot where 0.57 were busy). Change: reported load decays with the upstream's mean work time; the mean is scaled by a ratio that responses lower and rejections for want of a slot raise. The same estimate holds for few and many hosts a slot.

--- a/packages/placing/Placing.h
+++ b/packages/placing/Placing.h
@@ -20,6 +20,8 @@
 
 #include "placing/src/LoadMeter.h"
 
+#include "placing/src/UnreportedLoad.h"
+
 #include "placing/src/LimitShare.h"
 
 #include "placing/src/Placement.h"
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -306,6 +306,10 @@
     context.mHomes = Homes(aService, aRequest);
   }
   context.mMeanLoad = aService.mLoad.Mean(aNow);
+  if (context.mMeanLoad) {
+    context.mUnreportedLoad =
+      *context.mMeanLoad * aService.mUnreportedLoad.Ratio();
+  }
   context.mMeanFailureShare = aService.mFailures.Share(aNow);
   return context;
 }
@@ -343,7 +347,7 @@
   Candidate candidate;
   candidate.mUpstream = &aUpstream;
   candidate.mWarmth = aWarmth;
-  const LoadFallback loadFallback{ aContext.mMeanLoad,
+  const LoadFallback loadFallback{ aContext.mUnreportedLoad,
                                    aUpstream.mSpec.mRegion == mRegion
                                      ? mHostCounts.mRegion
                                      : mHostCounts.mLive };
@@ -517,14 +521,28 @@
   if (upstream->mTracker.IsPaused()) {
     mShiftLimiter.OnCapacityChanged(aNow);
   }
-  if (aResult.mReport) {
-    const LoadReport& report = *aResult.mReport;
-    upstream->mTracker.OnReport(aNow, report);
-    if (report.mSlots.Count() > 0) {
-      mServices[upstream->mSpec.mService].mLoad.OnReport(
-        aNow, static_cast<double>(report.mRunning + report.mWaiting) /
-                report.mSlots.Count());
-    }
+  RecordLoad(aNow, *upstream, aResult);
+}
+
+void Placement::RecordLoad(base::TimePoint aNow, Upstream& aUpstream,
+                           const PlacedResult& aResult)
+{
+  Service& service = mServices[aUpstream.mSpec.mService];
+  const auto& report = aResult.mReport;
+  const bool hasSlots = report && report->mSlots.Count() > 0;
+  if (aResult.mOutcome == Outcome::Answered) {
+    service.mUnreportedLoad.OnAnswered();
+  } else if (aResult.mOutcome == Outcome::Rejected &&
+             !(hasSlots && report->mRunning < report->mSlots.Count())) {
+    service.mUnreportedLoad.OnFull();
+  }
+  if (report) {
+    aUpstream.mTracker.OnReport(aNow, *report);
+  }
+  if (hasSlots) {
+    service.mLoad.OnReport(
+      aNow, static_cast<double>(report->mRunning + report->mWaiting) /
+              report->mSlots.Count());
   }
 }
 
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -7,6 +7,7 @@
 #include "placing/src/PlacingSettings.h"
 #include "placing/src/ShiftLimiter.h"
 #include "placing/src/TokenBucket.h"
+#include "placing/src/UnreportedLoad.h"
 #include "placing/src/UpstreamTracker.h"
 #include "placing/src/WarmObjects.h"
 #include "placing/src/WorkEstimates.h"
@@ -255,6 +256,7 @@
     /** Failure share over all upstreams of the service. */
     FailureMeter mFailures{ kServiceSampleWeight };
     LoadMeter mLoad;
+    UnreportedLoad mUnreportedLoad;
     LocalHomeShare mLocalHomeShare;
     base::TimePoint mHomeShareUpdatedAt;
   };
@@ -262,7 +264,10 @@
   struct RequestContext
   {
     Group mHomes;
+    /** Mean of the reported loads, in requests per slot. */
     std::optional<double> mMeanLoad;
+    /** Estimated load of upstreams without a recent report. */
+    std::optional<double> mUnreportedLoad;
     double mMeanFailureShare = 0;
   };
   static constexpr double kServiceSampleWeight = 0.02;
@@ -292,6 +297,9 @@
   Candidate Evaluate(base::TimePoint aNow, Upstream& aUpstream, Warmth aWarmth,
                      const PlaceRequest& aRequest,
                      const RequestContext& aContext) const;
+  /** Records what the end of a request tells about the load. */
+  void RecordLoad(base::TimePoint aNow, Upstream& aUpstream,
+                  const PlacedResult& aResult);
   base::Duration RoundTrip(const Upstream& aUpstream) const;
   base::Duration TransferCost(const Upstream& aUpstream,
                               base::ByteCount aBytes) const;
--- a/packages/placing/src/PlacingSettings.h
+++ b/packages/placing/src/PlacingSettings.h
@@ -23,7 +23,8 @@
   /** Time constant of the decay of a slowness report. Load bursts of other
    * processes on the upstream's machine last some tenths of a second. */
   base::Duration mSlownessDecayTime = std::chrono::milliseconds(150);
-  /** Time constant of the decay of the reported requests of other hosts. */
+  /** Maximum time constant of the decay of the reported requests of other
+   * hosts. Otherwise it is the mean work time, in which they end. */
   base::Duration mReportDecayTime = std::chrono::seconds(2);
 
   /** Maximum age of a report that is used to decide whether an upstream has
--- a/packages/placing/src/UpstreamTracker.cpp
+++ b/packages/placing/src/UpstreamTracker.cpp
@@ -24,9 +24,8 @@
  * considered unavailable. One timeout may be due to a single long request. */
 constexpr int kMaxSilentTimeouts = 2;
 
-/** Minimum number of slots that each host may use without a report. If so many
- * hosts share an upstream that the slots per host are fewer, the mean load of
- * the service is the better estimate. */
+/** Minimum number of slots that each host may use before the first report of
+ * the service. */
 constexpr double kMinSlotsPerHost = 2;
 
 double Decay(base::Duration aAge, Seconds aTimeConstant)
@@ -173,11 +172,10 @@
                              const LoadFallback& aFallback) const
 {
   const double freshness =
-    mReportedAt ? Decay(aNow - *mReportedAt, mSettings->mReportDecayTime) : 0;
+    mReportedAt ? Decay(aNow - *mReportedAt,
+                        std::min(mMeanWork, mSettings->mReportDecayTime))
+                : 0;
   const double reported = mOwnRequests + mOtherRequests * freshness;
-  if (SlotsPerHost(aFallback.mHosts) >= kMinSlotsPerHost) {
-    return reported; // unreported load is bounded, see HasCapacity()
-  }
   const double typical =
     aFallback.mRequestsPerSlot.value_or(0) * mSlots.Count();
   return reported + std::max(0.0, typical - mOwnRequests) * (1 - freshness);
@@ -187,12 +185,11 @@
                                   const LoadFallback& aFallback) const
 {
   const double slots = std::max(1.0, static_cast<double>(mSlots.Count()));
-  const double slotsPerHost = SlotsPerHost(aFallback.mHosts);
   const bool isReportFresh =
     mReportedAt && aNow - *mReportedAt <= mSettings->mMaxReportAge;
-  if (!isReportFresh &&
-      (slotsPerHost >= kMinSlotsPerHost || !aFallback.mRequestsPerSlot)) {
-    return mOwnRequests < std::max(std::ceil(slotsPerHost), kMinSlotsPerHost);
+  if (!isReportFresh && !aFallback.mRequestsPerSlot) {
+    return mOwnRequests < std::max(std::ceil(SlotsPerHost(aFallback.mHosts)),
+                                   kMinSlotsPerHost);
   }
   return Load(aNow, aFallback) + 1 <= slots * (1 + mSettings->mQueueShare);
 }
--- a/packages/placing/src/UpstreamTracker.h
+++ b/packages/placing/src/UpstreamTracker.h
@@ -36,7 +36,7 @@
 /** Data for estimating the load of an upstream without a recent report. */
 struct LoadFallback
 {
-  /** Mean requests per slot at the service's upstreams; none if unknown. */
+  /** Estimated requests per slot; none before the service's first report. */
   std::optional<double> mRequestsPerSlot;
   /** Number of hosts that may send to the upstream. */
   std::size_t mHosts = 1;
@@ -78,9 +78,8 @@
   /**
    * \returns whether a request may be sent: the upstream has a free slot or a
    * short queue. A short queue keeps slots from being idle while the next
-   * request is in transit. Without a recent report, a host uses at most its
-   * even part of the slots, or the mean load of the service if that part is too
-   * small.
+   * request is in transit. Before the first report of the service, a host uses
+   * at most its even part of the slots.
    */
   bool HasCapacity(base::TimePoint aNow, const LoadFallback& aFallback) const;
   /** \returns the running mean of actual to expected work time. The expected
--- a/packages/placing/test/PlacementTest.cpp
+++ b/packages/placing/test/PlacementTest.cpp
@@ -347,6 +347,48 @@
   CHECK_TRUE(InTimeShare(fleet, 12, 20) > 0.8);
 }
 
+// Guards against slots that stay idle while requests wait (found on brazos-mux
+// scale-2, half of the slots idle). A host hears of an upstream only from its
+// own responses. Reports of a full upstream outlived the work behind them, and
+// the mean of the reports, which busy upstreams dominate, stood for the rest.
+TEST(Placement, FewSlotsSharedByHostsDontStayIdleUnderLoad)
+{
+  TrafficSettings settings;
+  settings.mUpstreams = { 6, 5, 5 };
+  settings.mSlots = 3;
+  settings.mMaxUpstreamQueue = 3;
+  settings.mObjectCapacity = 48;
+  settings.mObjects = 50;
+  settings.mColdWork = milliseconds(290);
+  settings.mWarmWork = milliseconds(100);
+  settings.mLatencyTarget = milliseconds(200);
+  settings.mTimeout = milliseconds(1200);
+  settings.mRequestsPerSecond = 300; // 48 slots: 166/s cold, 480/s warm
+  const auto seconds = TrafficSimulation(settings).Run();
+  CHECK_TRUE(InTimeShare(seconds, 6, 20) > 0.75);
+  CHECK_TRUE(RejectedShare(seconds, 6, 20) < 0.02);
+}
+
+// The same with more hosts than slots, where most of an upstream's load is that
+// of other hosts (brazos-mux-grown: 32 hosts, 3 slots).
+TEST(Placement, MoreHostsThanSlotsServeInTime)
+{
+  TrafficSettings settings;
+  settings.mHostsPerRegion = 5;
+  settings.mUpstreams = { 12, 12, 12 };
+  settings.mSlots = 3;
+  settings.mMaxUpstreamQueue = 3;
+  settings.mObjectCapacity = 48;
+  settings.mObjects = 150;
+  settings.mColdWork = milliseconds(580);
+  settings.mWarmWork = milliseconds(200);
+  settings.mLatencyTarget = milliseconds(300);
+  settings.mTimeout = milliseconds(2000);
+  settings.mRequestsPerSecond = 300; // 108 slots: 186/s cold, 540/s warm
+  const auto seconds = TrafficSimulation(settings).Run();
+  CHECK_TRUE(InTimeShare(seconds, 10, 20) > 0.65);
+}
+
 // Found on belhadj-rotas-grown quiet-1: just after the start, a region with a
 // tenth of the upstreams moved 28 in 100 of its requests to other regions than
 // in the 2 s before.
--- a/packages/placing/test/support/TrafficSimulation.h
+++ b/packages/placing/test/support/TrafficSimulation.h
@@ -22,6 +22,8 @@
   /** Number of upstreams in each region. */
   std::vector<int> mUpstreams = { 2, 8, 8 };
   int mSlots = 4;
+  /** Queued requests above which an upstream rejects others. */
+  std::size_t mMaxUpstreamQueue = 1000;
   /** Number of objects that an upstream keeps in memory. */
   std::size_t mObjectCapacity = 24;
   /** Number of objects of each region. */
@@ -50,6 +52,8 @@
   int mInTime = 0;
   int mServed = 0;
   int mRefused = 0;
+  /** Rejections by upstreams without a free slot. */
+  int mRejected = 0;
   /** Served requests of the first region's clients: all, and those served in
    * another region. */
   int mFirstRegionServed = 0;
@@ -80,6 +84,7 @@
   void TryPlace(Host& aHost, const std::shared_ptr<Request>& aRequest);
   void RunRound(Host& aHost);
   void Deliver(Upstream& aUpstream, const std::shared_ptr<Request>& aRequest);
+  void Reject(Upstream& aUpstream, const std::shared_ptr<Request>& aRequest);
   void StartQueued(Upstream& aUpstream);
   void Finish(Upstream& aUpstream, const std::shared_ptr<Request>& aRequest);
 
@@ -93,6 +98,10 @@
   std::vector<SecondStats> mSeconds;
 };
 
+/** \returns the share of requests that were rejected by upstreams, of all. */
+double RejectedShare(const std::vector<SecondStats>& aSeconds,
+                     std::size_t aFrom, std::size_t aTo);
+
 /** \returns the share of requests that were answered within the latency target,
  * of those that arrived from second \a aFrom up to, excluding, \a aTo. */
 double InTimeShare(const std::vector<SecondStats>& aSeconds, std::size_t aFrom,
