Refuse in a planned stop what the exit would cut off

Cause (report of other operators, shown by test): a stopping host accepted every request for 0.45 of its grace period and cut at the end what was still running, among it work that isn't idempotent. Change: admission::EndsBeforeExit. The same holds for queued requests and second attempts. daemon refuses what its drain limit would cut.

--- a/packages/admission/Admission.h
+++ b/packages/admission/Admission.h
@@ -1,3 +1,5 @@
 #pragma once
 
 #include "admission/src/AdmissionQueue.h"
+
+#include "admission/src/StopAdmission.h"
--- a/packages/daemon/src/GracefulStop.cpp
+++ b/packages/daemon/src/GracefulStop.cpp
@@ -67,6 +67,7 @@
                                               mServiceManager.OpenRequests()));
   mCluster.StartLeaving();
   mOnLeaving();
+  mServiceManager.SetExitTime(mBegin + mContext.mSettings.mDrainLimit);
   mServer.CloseAfterResponses();
   mContext.mLoop.Every(kTickInterval, [this] { OnTick(); });
 }
--- a/packages/daemon/src/ServiceManager.cpp
+++ b/packages/daemon/src/ServiceManager.cpp
@@ -1,5 +1,7 @@
 #include "daemon/src/ServiceManager.h"
 
+#include "admission/Admission.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -148,6 +150,15 @@
     return;
   }
   auto& accepted = std::get<RequestPlan>(plan);
+  const base::TimePoint now = mContext.mLoop.Now();
+  const base::Duration timeLeft = accepted.mDeadline - now;
+  if (mExitAt &&
+      !admission::EndsBeforeExit(*mExitAt - now, { timeLeft, timeLeft })) {
+    SendRefusal(*aExchange,
+                { 503, base::WorkOutcome::NotRun, "this host is stopping",
+                  std::chrono::seconds(1) });
+    return;
+  }
   if (!accepted.mGrant) {
     accepted.mForeignRegion = mDependencies.mForeignRegion(head.mClientAddress);
   }
--- a/packages/daemon/src/ServiceManager.h
+++ b/packages/daemon/src/ServiceManager.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace auburnmux::daemon {
 
@@ -29,6 +30,8 @@
   {
     return mServices;
   }
+  /** Refuses, from now on, requests that may not end before \a aExitAt. */
+  void SetExitTime(base::TimePoint aExitAt) { mExitAt = aExitAt; }
   /** Plans a request and forwards it, or refuses it. */
   void Accept(const std::shared_ptr<http::ServerExchange>& aExchange);
   /** \returns the slot use of every service, from which grants are computed. */
@@ -60,6 +63,8 @@
   std::vector<std::unique_ptr<ServiceRuntime>> mRetired;
   http::Loop::TimerId mTimer;
   bool mIsBusy = false;
+  /** When the daemon exits; unset until it is told to stop. */
+  std::optional<base::TimePoint> mExitAt;
 };
 
 } // namespace auburnmux::daemon
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -406,6 +406,8 @@
   }
   mImpl->mServices.mIsStopping = true;
   mImpl->mStopStart = mImpl->mLoop.Now();
+  mImpl->mServices.mExitAt =
+    *mImpl->mStopStart + StopPlan(mImpl->mSettings.mStopGrace).ExitAfter();
   mImpl->mOnStopped = std::move(aDone);
   mImpl->mCluster.StartLeaving();
   mImpl->mFront.CloseAfterResponses();
--- a/packages/entry/src/RequestForwarder.cpp
+++ b/packages/entry/src/RequestForwarder.cpp
@@ -13,10 +13,6 @@
 /** Timeout of a request when neither the client nor the route sets one. */
 constexpr base::Duration kDefaultTimeout = std::chrono::seconds(60);
 
-/** Retry-after of a stopping host. Short, since other hosts are available
- * immediately. */
-constexpr base::Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
-
 /** Passes the events of the exchange to the forwarder and keeps it alive. */
 class ExchangeObserver final : public http::RequestObserver
 {
@@ -105,10 +101,17 @@
   terms.mMaxAttempts = std::max(1U, mRoute->mMaxAttempts);
   mStateMachine.emplace(terms);
   mPlaceRequest.mService = mServices.mSplits.Next(*mRoute);
+  mPlaceRequest.mKind =
+    mRoute->mId.Text() + ' ' + mPlaceRequest.mService.Text();
+  mPlaceRequest.mLatencyTarget = mRoute->mLatencyTarget;
   mServices.RetryBudget(mPlaceRequest.mService).OnRequest(mArrived);
   mServices.mStragglers.OnRequest(mArrived);
   mLatencyDeadline = mArrived + mRoute->mLatencyTarget - TimeSpentBefore();
   StartTimer();
+  if (IsCutOffByStop()) {
+    Execute(mStateMachine->OnRefused(Reason::Stopping, kStoppingRetryAfter));
+    return;
+  }
   if (mIsBodyComplete) {
     Execute(mStateMachine->OnReadyToSend());
   }
@@ -129,6 +132,17 @@
   });
 }
 
+bool RequestForwarder::IsCutOffByStop() const
+{
+  if (!mServices.mExitAt) {
+    return false;
+  }
+  const base::Duration untilExit = *mServices.mExitAt - mServices.mLoop.Now();
+  return !admission::EndsBeforeExit(
+    untilExit,
+    { TimeLeft(), mServices.mPlacement.ExpectedWork(mPlaceRequest) });
+}
+
 base::Duration RequestForwarder::TimeSpentBefore()
 {
   if (!mFields.mTimeLeft) {
--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -24,6 +24,10 @@
   , public std::enable_shared_from_this<RequestForwarder>
 {
 public:
+  /** Retry-after of a stopping host. Short, since other hosts are available
+   * immediately. */
+  static constexpr base::Duration kStoppingRetryAfter =
+    std::chrono::milliseconds(50);
   /** Longest request body that is buffered, so that it can be sent again. */
   static constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{ 1 } << 20U;
   /** Unsent bytes to a slow receiver above which the sender is paused. */
@@ -62,6 +66,9 @@
   void Execute(const carriage::RequestActions& aActions);
   void Refuse(carriage::Reason aReason, base::Duration aRetryAfter);
   void RespondUnknownRoute();
+  /** \returns whether this host is stopping and may exit before the request
+   * ends. */
+  bool IsCutOffByStop() const;
   void SelectUpstream(bool aUsesRetryBudget);
   /** Selects an upstream; queues the request if none has capacity. */
   void TryPlace();
--- a/packages/entry/src/RequestForwarderSelection.cpp
+++ b/packages/entry/src/RequestForwarderSelection.cpp
@@ -38,9 +38,6 @@
                                              kQuarantineRetryAfter));
     return;
   }
-  mPlaceRequest.mKind =
-    mRoute->mId.Text() + ' ' + mPlaceRequest.mService.Text();
-  mPlaceRequest.mLatencyTarget = mRoute->mLatencyTarget;
   mPlaceRequest.mAllowedRegions = mRoute->mAllowedRegions;
   constexpr std::size_t kTypicalHeadAndResponse = 2000;
   mPlaceRequest.mBytes =
@@ -54,6 +51,12 @@
 
 void RequestForwarder::TryPlace()
 {
+  if (IsCutOffByStop()) {
+    LeaveQueue();
+    Execute(
+      mStateMachine->OnSelectionFailed(Reason::Stopping, kStoppingRetryAfter));
+    return;
+  }
   const base::TimePoint now = mServices.mLoop.Now();
   mPlaceRequest.mTimeLeft = TimeLeft();
   const placing::PlaceDecision decision =
--- a/packages/entry/src/Services.h
+++ b/packages/entry/src/Services.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -58,6 +59,8 @@
   bool mRefusesRequests = false;
   /** Whether this host was told to stop. */
   bool mIsStopping = false;
+  /** When this host exits; unset until it is told to stop. */
+  std::optional<base::TimePoint> mExitAt{};
   std::size_t mOpenRequests = 0;
 
   /** \returns the retry budget of \a aService. */
--- a/packages/entry/src/StopPlan.cpp
+++ b/packages/entry/src/StopPlan.cpp
@@ -19,10 +19,14 @@
                        mGrace * kRefuseAfterFraction);
 }
 
+base::Duration StopPlan::ExitAfter() const
+{
+  return mGrace - kStopMargin;
+}
+
 bool StopPlan::ShouldExit(base::Duration aElapsed, bool aIsWorkLeft) const
 {
-  return aElapsed >= mGrace - kStopMargin ||
-         (RefusesRequests(aElapsed) && !aIsWorkLeft);
+  return aElapsed >= ExitAfter() || (RefusesRequests(aElapsed) && !aIsWorkLeft);
 }
 
 } // namespace auburnmux::entry
--- a/packages/entry/src/StopPlan.h
+++ b/packages/entry/src/StopPlan.h
@@ -20,6 +20,8 @@
    * grace period remains for the requests that were accepted last.
    */
   bool RefusesRequests(base::Duration aElapsed) const;
+  /** \returns the time from the stop signal until the process exits. */
+  base::Duration ExitAfter() const;
   /** \returns whether the process should exit.
    * \param aIsWorkLeft whether requests are still open */
   bool ShouldExit(base::Duration aElapsed, bool aIsWorkLeft) const;
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -161,6 +161,12 @@
                                 : std::optional(it->second->mSpec.mService);
 }
 
+base::Duration Placement::ExpectedWork(const PlaceRequest& aRequest) const
+{
+  return mWorkEstimates.Estimate(aRequest.mKind, Warmth::None,
+                                 aRequest.mLatencyTarget);
+}
+
 void Placement::SetHostCounts(base::TimePoint aNow, const HostCounts& aCounts)
 {
   mHostCounts = aCounts;
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -214,6 +214,9 @@
   void OnHealthCheck(base::TimePoint aNow, const base::UpstreamId& aId,
                      bool aIsHealthy, base::Duration aColdFor);
 
+  /** \returns the mean work time of the request's kind at upstreams that don't
+   * have its object in memory. */
+  base::Duration ExpectedWork(const PlaceRequest& aRequest) const;
   /** \returns the service of an upstream; none if the upstream is unknown. */
   std::optional<base::ServiceId> ServiceOf(const base::UpstreamId& aId) const;
   /** \returns the tracker of an upstream; null if the upstream is unknown. */
