Let the first samples of cold work replace the default estimate

Cause: the work of a kind without history is estimated from its latency target. With a wait of any length such a request was refused as too late. Change: the first samples of Warmth::None count as a plain mean. Failing before: WorkEstimates.FewSamplesReplaceTheDefaultOfANewKind.

--- a/packages/placing/src/WorkEstimates.cpp
+++ b/packages/placing/src/WorkEstimates.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/** Weight of one sample in a running mean. */
-constexpr double kSampleWeight = 0.05;
+/** Number of samples from which all have the same weight, its inverse. */
+constexpr int kMaxCountedSamples = 20;
 
 /** Samples are capped at this multiple of the mean, because a few requests run
  * many times longer than the rest. */
@@ -30,8 +30,9 @@
 {
   Means means;
   std::transform(kInitialTargetMultiples.begin(), kInitialTargetMultiples.end(),
-                 means.begin(),
-                 [&](double aShare) { return Scale(aLatencyTarget, aShare); });
+                 means.begin(), [&](double aShare) {
+                   return Mean{ Scale(aLatencyTarget, aShare) };
+                 });
   return means;
 }
 
@@ -40,9 +41,14 @@
                               base::Duration aLatencyTarget)
 {
   const auto it = mMeans.try_emplace(aKind, InitialMeans(aLatencyTarget)).first;
-  base::Duration& mean = it->second[static_cast<std::size_t>(aWarmth)];
-  const base::Duration sample = std::min(aWork, Scale(mean, kMaxSampleRatio));
-  mean += Scale(sample - mean, kSampleWeight);
+  Mean& mean = it->second[static_cast<std::size_t>(aWarmth)];
+  const base::Duration sample =
+    std::min(aWork, Scale(mean.mTime, kMaxSampleRatio));
+  // The default counts as one sample.
+  mean.mSamples = aWarmth == Warmth::None
+                    ? std::min(mean.mSamples + 1, kMaxCountedSamples - 1)
+                    : kMaxCountedSamples - 1;
+  mean.mTime += (sample - mean.mTime) / (mean.mSamples + 1);
 }
 
 base::Duration WorkEstimates::Estimate(const std::string& aKind, Warmth aWarmth,
@@ -50,7 +56,8 @@
 {
   const auto it = mMeans.find(aKind);
   const std::size_t n = static_cast<std::size_t>(aWarmth);
-  return it == mMeans.end() ? InitialMeans(aLatencyTarget)[n] : it->second[n];
+  return (it == mMeans.end() ? InitialMeans(aLatencyTarget)[n] : it->second[n])
+    .mTime;
 }
 
 } // namespace auburnmux::placing
--- a/packages/placing/src/WorkEstimates.h
+++ b/packages/placing/src/WorkEstimates.h
@@ -30,6 +30,11 @@
  * Expected work time by kind of request and by Warmth, as a running mean. Warm
  * and cold work needn't be told apart, as the mean for each Warmth already
  * weights them by their frequency.
+ *
+ * The first samples of Warmth::None weigh more than later ones, so that the
+ * default, a guess from the latency target, doesn't decide for long about a
+ * kind without history. Those of the others don't: at a start all objects are
+ * cold, and estimates from that time would drive objects from their homes.
  */
 class WorkEstimates
 {
@@ -47,7 +52,13 @@
   }
 
 private:
-  using Means = std::array<base::Duration, kWarmthCount>;
+  struct Mean
+  {
+    base::Duration mTime{};
+    /** Samples so far, at most kMaxCountedSamples. */
+    int mSamples = 0;
+  };
+  using Means = std::array<Mean, kWarmthCount>;
 
   static Means InitialMeans(base::Duration aLatencyTarget);
 
