--- a/packages/cluster/src/StateLag.h
+++ b/packages/cluster/src/StateLag.h
@@ -18,6 +18,13 @@
 class StateLag
 {
 public:
+  /** \param aMaxLag time within which a change that another host has reaches
+   * this one, if nothing is lost */
+  explicit StateLag(base::Duration aMaxLag)
+    : mMaxLag(aMaxLag)
+  {
+  }
+
   /** Another host has the change \a aAnnounced; this one has all changes up to
    * \a aOwn. */
   void OnAnnounced(base::TimePoint aNow, membership::StateRevision aAnnounced,
@@ -33,6 +40,7 @@
    * replace it, so that a series of changes can't hide that it is missing. */
   std::optional<membership::StateRevision> mAwaited;
   base::TimePoint mAwaitedSince;
+  base::Duration mMaxLag;
 };
 
 } // namespace auburnmux::cluster
--- a/packages/cluster/test/StateLagTest.cpp
+++ b/packages/cluster/test/StateLagTest.cpp
@@ -10,7 +10,7 @@
 TEST_GROUP(StateLag)
 {
   static constexpr StateRevision kOwn{ 10 };
-  StateLag mLag;
+  StateLag mLag{ milliseconds(800) };
   base::TimePoint mStart{ std::chrono::seconds(100) };
 };
 
