Refuse at once the overdue requests that won't be reached

Change: the queue measures how many overdue requests it sends; those that it won't reach in time at that rate are refused at once. Kinds without history are exempt.

--- a/packages/admission/src/AdmissionQueue.h
+++ b/packages/admission/src/AdmissionQueue.h
@@ -22,6 +22,9 @@
   base::TimePoint mArrived;
   /** Latest time to send it and still meet its latency target. */
   base::TimePoint mSendBy;
+  /** Latest time to send it and still get a response before its deadline; the
+   * default if its work time isn't known, so that it is never in excess. */
+  base::TimePoint mGiveUpAt = base::TimePoint::max();
 };
 
 /**
@@ -33,6 +36,10 @@
  * arrival, every new request would wait for the whole backlog and miss its
  * latency target. In this order new requests are on time at once, and overdue
  * requests use the remaining capacity.
+ *
+ * In a lasting overload little capacity remains for overdue requests. Those
+ * that it won't reach before they are given up are in excess: they are to be
+ * refused at once, rather than at their deadline.
  */
 class AdmissionQueue
 {
@@ -40,6 +47,10 @@
   void Add(const QueuedRequest& aRequest);
   /** Removes a request; an unknown ticket is ignored. */
   void Remove(Ticket aTicket);
+  /** Records that a queued request is being sent, before Remove(). */
+  void OnSent(base::TimePoint aNow, Ticket aTicket);
+  /** \returns the requests in excess. */
+  std::vector<Ticket> Excess(base::TimePoint aNow);
 
   bool IsEmpty() const { return mEntries.empty(); }
   std::size_t Size() const { return mEntries.size(); }
@@ -59,11 +70,16 @@
   /** Moves requests that can no longer meet their latency target to the overdue
    * group. */
   void MoveOverdue(base::TimePoint aNow);
+  /** \returns the overdue requests that are sent in one second. */
+  double OverdueRate(base::TimePoint aNow) const;
 
   std::set<SortKey> mOnTime;
   std::set<SortKey> mOverdue;
   std::set<std::pair<base::TimePoint, std::uint64_t>> mBySendTime;
   std::unordered_map<Ticket, Entry> mEntries;
+  /** Decaying count of sent overdue requests. */
+  double mOverdueSent = 0;
+  base::TimePoint mOverdueSentAt;
 };
 
 } // namespace auburnmux::admission
--- a/packages/entry/src/Dispatcher.cpp
+++ b/packages/entry/src/Dispatcher.cpp
@@ -33,17 +33,21 @@
   }
 }
 
-admission::Ticket Dispatcher::Enqueue(std::uint32_t aRank,
-                                      base::TimePoint aArrived,
-                                      base::TimePoint aSendBy,
-                                      DispatchCallback aCallback)
+admission::Ticket Dispatcher::Enqueue(admission::QueuedRequest aRequest,
+                                      Callbacks aCallbacks)
 {
   const admission::Ticket ticket(++mLastTicket);
-  mQueue.Add({ ticket, aRank, aArrived, aSendBy });
-  mCallbacks[ticket] = std::move(aCallback);
+  aRequest.mTicket = ticket;
+  mQueue.Add(aRequest);
+  mCallbacks[ticket] = std::move(aCallbacks);
   return ticket;
 }
 
+void Dispatcher::OnSent(admission::Ticket aTicket)
+{
+  mQueue.OnSent(mLoop.Now(), aTicket);
+}
+
 void Dispatcher::Remove(admission::Ticket aTicket)
 {
   mQueue.Remove(aTicket);
@@ -70,7 +74,19 @@
        mQueue.First(mLoop.Now(), kMaxRequestsPerRound)) {
     const auto callback = mCallbacks.find(it);
     if (callback != mCallbacks.end()) {
-      const DispatchCallback run = callback->second; // it may remove itself
+      const auto run = callback->second.mTryPlace; // it may remove itself
+      run();
+    }
+  }
+  RefuseExcess();
+}
+
+void Dispatcher::RefuseExcess()
+{
+  for (const admission::Ticket it : mQueue.Excess(mLoop.Now())) {
+    const auto callback = mCallbacks.find(it);
+    if (callback != mCallbacks.end()) {
+      const auto run = callback->second.mRefuse;
       run();
     }
   }
--- a/packages/entry/src/Dispatcher.h
+++ b/packages/entry/src/Dispatcher.h
@@ -15,20 +15,25 @@
 class Dispatcher
 {
 public:
-  /** Tries to select an upstream for the request again; if none has capacity,
-   * the request stays queued. */
-  using DispatchCallback = std::function<void()>;
+  struct Callbacks
+  {
+    /** Tries to select an upstream for the request again; if none has capacity,
+     * the request stays queued. */
+    std::function<void()> mTryPlace;
+    /** The request won't be reached in time and is to be refused. */
+    std::function<void()> mRefuse;
+  };
 
   Dispatcher(http::Loop& aLoop, placing::Placement& aPlacement);
   ~Dispatcher();
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
 
-  /** Queues a request. \returns the ticket to pass to Remove()
-   * \param aSendBy when it has to be sent to meet its latency target */
-  admission::Ticket Enqueue(std::uint32_t aRank, base::TimePoint aArrived,
-                            base::TimePoint aSendBy,
-                            DispatchCallback aCallback);
+  /** Queues a request, whose ticket is set here. \returns the ticket */
+  admission::Ticket Enqueue(admission::QueuedRequest aRequest,
+                            Callbacks aCallbacks);
+  /** Records that a queued request is being sent. */
+  void OnSent(admission::Ticket aTicket);
   void Remove(admission::Ticket aTicket);
   /** An upstream may have capacity: schedules a round. */
   void OnCapacityAvailable();
@@ -36,11 +41,12 @@
 
 private:
   void RunRound();
+  void RefuseExcess();
 
   http::Loop& mLoop;
   placing::Placement& mPlacement;
   admission::AdmissionQueue mQueue;
-  std::unordered_map<admission::Ticket, DispatchCallback> mCallbacks;
+  std::unordered_map<admission::Ticket, Callbacks> mCallbacks;
   std::uint64_t mLastTicket = 0;
   http::Loop::TimerId mPeriodicRounds;
   /** Set while a round is scheduled. */
--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -72,6 +72,8 @@
   void SelectUpstream(bool aUsesRetryBudget);
   /** Selects an upstream; queues the request if none has capacity. */
   void TryPlace();
+  /** Refuses a request that its queue won't reach in time. */
+  void RefuseQueued();
   void LeaveQueue();
   void Send(const placing::Placed& aPlace);
   http::ClientRequest MakeRequest(const base::UpstreamId& aUpstream) const;
--- a/packages/entry/src/RequestForwarderSelection.cpp
+++ b/packages/entry/src/RequestForwarderSelection.cpp
@@ -64,14 +64,24 @@
   mPlaceRequest.mIsPlacedBefore = true;
   if (const auto* wait = std::get_if<placing::Wait>(&decision)) {
     if (!mTicket) {
+      const auto self = shared_from_this();
       mTicket = mServices.mDispatcher.Enqueue(
-        mRoute->mRank.Count(), mArrived, mLatencyDeadline - wait->mResponseTime,
-        [this, self = shared_from_this()] { TryPlace(); });
+        { {},
+          mRoute->mRank.Count(),
+          mArrived,
+          mLatencyDeadline - wait->mResponseTime,
+          wait->mIsMeasured ? mDeadline - wait->mResponseTime
+                            : base::TimePoint::max() },
+        { [this, self] { TryPlace(); }, [this, self] { RefuseQueued(); } });
     }
     return;
   }
+  const auto* place = std::get_if<placing::Placed>(&decision);
+  if (mTicket && place != nullptr) {
+    mServices.mDispatcher.OnSent(*mTicket);
+  }
   LeaveQueue();
-  if (const auto* place = std::get_if<placing::Placed>(&decision)) {
+  if (place != nullptr) {
     mStateMachine->OnUpstreamSelected();
     Send(*place);
   } else if (const auto* full = std::get_if<placing::NoCapacity>(&decision)) {
@@ -83,6 +93,13 @@
   }
 }
 
+void RequestForwarder::RefuseQueued()
+{
+  LeaveQueue();
+  Execute(mStateMachine->OnSelectionFailed(Reason::NoCapacity,
+                                           placing::kDefaultRetryAfter));
+}
+
 void RequestForwarder::LeaveQueue()
 {
   if (mTicket) {
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -14,9 +14,6 @@
 /** Weight of a measured round trip that is longer than the estimate. */
 constexpr double kSlowerRoundTripWeight = 0.05;
 
-/** Retry-After without an estimate of the wait; otherwise added to it. */
-constexpr base::Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
-
 /** Longest Retry-After that is derived from what an upstream takes from this
  * host. Another host may have room earlier. */
 constexpr base::Duration kMaxLimitRetryAfter = std::chrono::seconds(2);
@@ -479,7 +476,8 @@
   Upstream& upstream = *best.mUpstream;
   if (!best.mHasCapacity) {
     ++upstream.mQueued;
-    return Wait{ upstream.mSpec.mId, best.mWork + RoundTrip(upstream) };
+    return Wait{ upstream.mSpec.mId, best.mWork + RoundTrip(upstream),
+                 mWorkEstimates.IsKnown(aRequest.mKind) };
   }
   upstream.mTracker.OnSent(aNow);
   mShiftLimiter.OnPlaced(aNow, upstream.mSpec.mRegion != mRegion);
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -24,6 +24,9 @@
 
 namespace auburnmux::placing {
 
+/** Retry-After without an estimate of the wait; otherwise added to it. */
+constexpr base::Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
+
 /** Description of an upstream for the placement. */
 struct UpstreamSpec
 {
@@ -77,6 +80,8 @@
   base::UpstreamId mUpstream;
   /** Estimated time from sending to the response. */
   base::Duration mResponseTime{};
+  /** Whether work of this kind was measured before. */
+  bool mIsMeasured = false;
 };
 
 /** No upstream is expected to respond in time. */
