--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -152,6 +152,12 @@
  * Work is faster on upstreams that recently handled the same object. Therefore
  * all hosts agree on an order of upstreams for each object (rendezvous hashing)
  * and leave the first one only when waiting there would cost more.
+ *
+ * The members are defined in four files:
+ * - Placement.cpp: the upstreams, the choice and its outcome
+ * - PlacementHomes.cpp: the homes of objects
+ * - PlacementCosts.cpp: round trips, and the cost of each candidate
+ * - PlacementLimits.cpp: limits that upstreams name
  */
 class Placement
 {
