--- a/apps/auburnmux/src/CommandLine.cpp
+++ b/apps/auburnmux/src/CommandLine.cpp
@@ -80,6 +80,10 @@
   if (aCommand != Command::Check && aCommand != Command::History) {
     AddHosts(parser);
   }
+  if (aCommand == Command::Status) {
+    parser.add_options()("via", "ask this host, and those that it knows",
+                         cxxopts::value<std::string>(), "ADDRESS:PORT");
+  }
   if (aCommand == Command::Publish) {
     parser.add_options()("wait-s", "how long to wait until it is in force",
                          cxxopts::value<std::uint32_t>()->default_value("10"),
@@ -107,6 +111,10 @@
       aOptions.mHosts.push_back(ParseEndpoint(it));
     }
   }
+  if (aOptions.mCommand == Command::Status && aFlags.count("via") > 0) {
+    aOptions.mVia = ParseEndpoint(aFlags["via"].as<std::string>());
+    aOptions.mHosts = { *aOptions.mVia };
+  }
   const bool needsPlatform = aOptions.mCommand == Command::Publish ||
                              aOptions.mCommand == Command::History ||
                              aOptions.mHosts.empty();
--- a/apps/auburnmux/src/CommandLine.h
+++ b/apps/auburnmux/src/CommandLine.h
@@ -31,6 +31,8 @@
   http::Endpoint mPlatform;
   /** Hosts to ask; when empty, those of the platform's list. */
   std::vector<http::Endpoint> mHosts;
+  /** Host that is asked which others there are; they listen on its port. */
+  std::optional<http::Endpoint> mVia;
   /** Port of listed hosts whose address has none. */
   base::PortNumber mHostPort{ 8080 };
   /** How long publish waits until every host has the version. */
--- a/apps/auburnmux/src/HostStatus.cpp
+++ b/apps/auburnmux/src/HostStatus.cpp
@@ -28,6 +28,22 @@
   return states;
 }
 
+std::vector<std::string> ReadAddresses(ObjectReader& aParent,
+                                       const JsonSource& aSource)
+{
+  std::vector<std::string> addresses;
+  for (const JsonValue& it : aParent.List("peers", { 0, kMaxHosts })) {
+    ObjectReader reader(it, aSource, "peers");
+    const JsonValue* value = reader.Child("address", false);
+    const auto* text =
+      value == nullptr ? nullptr : std::get_if<std::string>(&value->mData);
+    if (text != nullptr && config::IsAddress(*text)) {
+      addresses.push_back(*text);
+    }
+  }
+  return addresses;
+}
+
 void ReadConfig(ObjectReader& aParent, const JsonSource& aSource,
                 HostStatus& aStatus)
 {
@@ -58,6 +74,7 @@
   status.mIsLeaving = reader.Boolean("leaving");
   ReadConfig(reader, aSource, status);
   status.mPeerStates = ReadStates(reader, "peers", kMaxHosts, aSource);
+  status.mPeerAddresses = ReadAddresses(reader, aSource);
   for (const JsonValue& it : reader.List("services", { 0, kMaxServices })) {
     ObjectReader child(it, aSource, "service");
     ServiceStatus service;
--- a/apps/auburnmux/src/HostStatus.h
+++ b/apps/auburnmux/src/HostStatus.h
@@ -36,6 +36,8 @@
   bool mIsConfirmed = false;
   /** State of each peer, e.g. "alive". */
   std::vector<std::string> mPeerStates;
+  /** Addresses of the hosts that it knows, where it reports them. */
+  std::vector<std::string> mPeerAddresses;
   std::vector<ServiceStatus> mServices;
 };
 
--- a/apps/auburnmux/src/StatusCommand.cpp
+++ b/apps/auburnmux/src/StatusCommand.cpp
@@ -42,6 +42,24 @@
   return asked;
 }
 
+/** Adds the hosts that the first one knows, at its port. */
+std::vector<objects::ListedHost> WithKnownHosts(
+  Session& aSession, const std::vector<objects::ListedHost>& aHosts)
+{
+  std::vector<objects::ListedHost> hosts = aHosts;
+  const std::vector<AskedHost> first = AskAll(aSession, aHosts);
+  if (first.empty() || !first.front().mStatus) {
+    return hosts;
+  }
+  const http::Endpoint& via = aHosts.front().mEndpoint;
+  for (const std::string& it : first.front().mStatus->mPeerAddresses) {
+    if (it != via.mAddress) {
+      hosts.push_back({ base::HostId(it), { it, via.mPort }, {}, false });
+    }
+  }
+  return hosts;
+}
+
 std::string StateOf(const HostStatus& aStatus)
 {
   if (aStatus.mIsLeaving) {
@@ -147,7 +165,8 @@
                       "name hosts with --host\n";
     return ExitCode::Failed;
   }
-  const std::vector<AskedHost> asked = AskAll(aSession, *hosts);
+  const std::vector<AskedHost> asked =
+    AskAll(aSession, aOptions.mVia ? WithKnownHosts(aSession, *hosts) : *hosts);
   if (aOptions.mIsJson) {
     PrintStatusJson(asked, aOutput.mOut);
   } else {
--- a/apps/auburnmux/test/ToolTest.cpp
+++ b/apps/auburnmux/test/ToolTest.cpp
@@ -24,9 +24,10 @@
 /** A host that reports a version that the test sets. */
 struct FakeHost
 {
-  FakeHost(http::Loop& aLoop, std::string aName, std::uint16_t aPort)
+  FakeHost(http::Loop& aLoop, std::string aName, std::uint16_t aPort,
+           const char* aAddress = "127.0.0.1")
     : mName(std::move(aName))
-    , mServer(aLoop, { "127.0.0.1", base::PortNumber(aPort) },
+    , mServer(aLoop, { aAddress, base::PortNumber(aPort) },
               [this](const auto& aExchange) {
                 mAsked = aExchange->Head();
                 aExchange->Respond(200, {}, Body());
@@ -42,7 +43,9 @@
       "config":{"version":)" +
            std::to_string(mVersion) +
            R"(,"digest":"d","age_s":3.5,"confirmed":true},
-      "peers":[{"host":"x","state":"alive","data_centre":"addis-1"}],
+      "peers":[{"host":"x","state":"alive","data_centre":"addis-1")" +
+           (mPeer.empty() ? "" : R"(,"address":")" + mPeer + '"') +
+           R"(}],
       "services":[{"service":"subsidy-core","in_flight":4,"queued":2,
         "upstreams":[{"id":"sc-01","state":"ready","in_flight":4,
                       "share":4,"latency_ms":1.5}]}]})";
@@ -50,6 +53,8 @@
 
   std::string mName;
   unsigned mVersion = 1;
+  /** Address of the host that it knows; empty if it doesn't tell. */
+  std::string mPeer;
   http::RequestHead mAsked;
   http::Server mServer;
 };
@@ -187,6 +192,18 @@
   CheckError("not published: the platform doesn't answer");
 }
 
+// One command shows which configuration each host follows, without the
+// platform's list of hosts.
+TEST(Tool, ShowsTheVersionOfEachHostThatOneKnows)
+{
+  FakeHost other(mLoop, "addis-2-a", 19862, "127.0.0.2");
+  other.mVersion = 7;
+  mFirst.mPeer = "127.0.0.2";
+  CheckRun(ExitCode::Done, { "status", "--via", "127.0.0.1:19862" });
+  CheckOut("addis-1-a  addis-1      ready  1 ");
+  CheckOut("addis-2-a  addis-1      ready  7 ");
+}
+
 TEST(Tool, ShowsStatusAndExplains)
 {
   AnnounceBoth();
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -10,6 +10,7 @@
 #include "upstreams/Upstreams.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <set>
 #include <utility>
@@ -111,6 +112,8 @@
   http::Loop::TimerId mCountTimer;
   bool mHasJoined = false;
   bool mHasUpstreams = false;
+  /** When the configuration came into force here. */
+  base::TimePoint mConfigSince;
   std::optional<base::TimePoint> mStopStart;
   std::function<void()> mOnStopped;
 };
@@ -394,6 +397,36 @@
   return mImpl->mCluster.LiveHosts();
 }
 
+std::string EntryNode::StatusText() const
+{
+  const base::TimePoint now = mImpl->mLoop.Now();
+  const Services& services = mImpl->mServices;
+  // The tag behind the name distinguishes starts of the process.
+  const auto nameOf = [](const base::HostId& aHost) {
+    return aHost.Text().substr(0, aHost.Text().find('/'));
+  };
+  nlohmann::json peers = nlohmann::json::array();
+  for (const membership::HostView& it : mImpl->mCluster.View()) {
+    peers.push_back({ { "host", nameOf(it.mHost.mId) },
+                      { "address", it.mHost.mAddress },
+                      { "state", cluster::HostStateName(it.mState) } });
+  }
+  const std::chrono::duration<double> age =
+    services.mRoutes.IsEmpty() ? base::Duration() : now - mImpl->mConfigSince;
+  return nlohmann::json{
+    { "host", nameOf(mImpl->mSettings.mHost) },
+    { "data_centre", mImpl->mSettings.mDataCentre.Text() },
+    { "ready", IsReady() },
+    { "leaving", services.mIsStopping },
+    { "config",
+      { { "version", services.mRoutes.Version().Count() },
+        { "age_s", age.count() },
+        { "confirmed", services.mConfirmation.IsRecent(now) } } },
+    { "peers", peers },
+    { "services", nlohmann::json::array() }
+  }.dump();
+}
+
 std::string EntryNode::MetricsText()
 {
   return mImpl->mMetrics.PrometheusText(mImpl->mLoop.Now());
@@ -439,6 +472,7 @@
   if (!routes.Update(std::move(aConfiguration))) {
     return;
   }
+  mImpl->mConfigSince = mImpl->mLoop.Now();
   const routing::RequestLimits& limits = routes.Current().mLimits;
   mImpl->mFront.SetLimits({ limits.mMaxHead, limits.mMaxBody,
                             limits.mHeadTimeout, limits.mIdleTimeout });
--- a/packages/entry/src/EntryNode.h
+++ b/packages/entry/src/EntryNode.h
@@ -35,6 +35,9 @@
                                      const base::RegionId& aRegion) const;
   /** \returns the live hosts, this one included. */
   std::vector<membership::HostView> LiveHosts() const;
+  /** \returns this host's state, the configuration that it follows, and the
+   * hosts that it knows, as JSON for `auburnmux status`. */
+  std::string StatusText() const;
   /** \returns the metrics as text. */
   std::string MetricsText();
 
