Judge upstreams without responses by the service's work time

Cause: an upstream's mean work time began at 200 ms. Change: until its first response, an upstream has the mean work time of its service. Failing before: UpstreamTracker.UpstreamWithoutResponsesIsJudgedByTheServicesWorkTime.

--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -258,6 +258,12 @@
     mWorkEstimates.AddSample(aRequest.mKind, aResult.mWarmth, *work,
                              aRequest.mLatencyTarget);
   }
+  if (work) {
+    auto& mean = mServices[upstream->mSpec.mService].mMeanWork;
+    mean = mean ? *mean + std::chrono::duration_cast<base::Duration>(
+                            (*work - *mean) * kServiceSampleWeight)
+                : *work;
+  }
   if (const auto failure = FailureWeight(aResult.mOutcome)) {
     mServices[upstream->mSpec.mService].mFailures.AddSample(aNow, *failure);
   }
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -271,6 +271,8 @@
     FailureMeter mFailures{ kServiceSampleWeight };
     LoadMeter mLoad;
     UnreportedLoad mUnreportedLoad;
+    /** Running mean of the work time; unset until the first response. */
+    std::optional<base::Duration> mMeanWork;
     LocalHomeShare mLocalHomeShare;
     base::TimePoint mHomeShareUpdatedAt;
   };
@@ -282,6 +284,7 @@
     std::optional<double> mMeanLoad;
     /** Estimated load of upstreams without a recent report. */
     std::optional<double> mUnreportedLoad;
+    base::Duration mMeanWork{};
     double mMeanFailureShare = 0;
   };
   static constexpr double kServiceSampleWeight = 0.02;
--- a/packages/placing/src/PlacementCosts.cpp
+++ b/packages/placing/src/PlacementCosts.cpp
@@ -75,6 +75,7 @@
     context.mUnreportedLoad =
       *context.mMeanLoad * aService.mUnreportedLoad.Ratio();
   }
+  context.mMeanWork = aService.mMeanWork.value_or(kDefaultMeanWork);
   context.mMeanFailureShare = aService.mFailures.Share(aNow);
   return context;
 }
@@ -92,7 +93,8 @@
   const LoadFallback loadFallback{ aContext.mUnreportedLoad,
                                    aUpstream.mSpec.mRegion == mRegion
                                      ? mHostCounts.mRegion
-                                     : mHostCounts.mLive };
+                                     : mHostCounts.mLive,
+                                   aContext.mMeanWork };
   const base::Duration limitWait = LimitWait(aNow, aUpstream);
   const base::Duration wait = std::max(
     limitWait, tracker.ExpectedWait(aNow, loadFallback, aUpstream.mQueued));
@@ -114,7 +116,7 @@
   const double failures =
     std::max(0.0, tracker.FailureShare(aNow) - aContext.mMeanFailureShare);
   candidate.mCost =
-    candidate.mExpected + tracker.UnexplainedSilence(aNow) +
+    candidate.mExpected + tracker.UnexplainedSilence(aNow, loadFallback) +
     TransferCost(aUpstream, aRequest.mBytes) +
     Scale(aRequest.mLatencyTarget, mSettings.mFailureTargets * failures);
   return candidate;
--- a/packages/placing/src/UpstreamTracker.cpp
+++ b/packages/placing/src/UpstreamTracker.cpp
@@ -104,7 +104,10 @@
 void UpstreamTracker::UpdateWorkTimes(base::Duration aWork,
                                       base::Duration aExpected)
 {
-  const double mean = static_cast<double>(mMeanWork.count());
+  if (!mMeanWork) {
+    mMeanWork = aExpected > base::Duration::zero() ? aExpected : aWork;
+  }
+  const double mean = static_cast<double>(mMeanWork->count());
   const double sample =
     std::min(static_cast<double>(aWork.count()), kMaxSampleRatio * mean);
   mMeanWork = base::Duration(
@@ -172,9 +175,10 @@
                              const LoadFallback& aFallback) const
 {
   const double freshness =
-    mReportedAt ? Decay(aNow - *mReportedAt,
-                        std::min(mMeanWork, mSettings->mReportDecayTime))
-                : 0;
+    mReportedAt
+      ? Decay(aNow - *mReportedAt,
+              std::min(MeanWork(aFallback), mSettings->mReportDecayTime))
+      : 0;
   const double reported = mOwnRequests + mOtherRequests * freshness;
   const double typical =
     aFallback.mRequestsPerSlot.value_or(0) * mSlots.Count();
@@ -203,17 +207,19 @@
   if (excess <= 0) {
     return {};
   }
-  return std::chrono::duration_cast<base::Duration>(mMeanWork *
+  return std::chrono::duration_cast<base::Duration>(MeanWork(aFallback) *
                                                     (excess / slots));
 }
 
-base::Duration UpstreamTracker::UnexplainedSilence(base::TimePoint aNow) const
+base::Duration UpstreamTracker::UnexplainedSilence(
+  base::TimePoint aNow, const LoadFallback& aFallback) const
 {
   constexpr int kToleratedMeanWorks = 3;
   if (!mSilentSince) {
     return {};
   }
-  return std::max(aNow - *mSilentSince - kToleratedMeanWorks * mMeanWork,
+  return std::max(aNow - *mSilentSince -
+                    kToleratedMeanWorks * MeanWork(aFallback),
                   base::Duration::zero());
 }
 
--- a/packages/placing/src/UpstreamTracker.h
+++ b/packages/placing/src/UpstreamTracker.h
@@ -33,6 +33,9 @@
  * request did not run and can go to another upstream. */
 std::optional<double> FailureWeight(Outcome aOutcome);
 
+/** Assumed work time before the first response of a service. */
+constexpr base::Duration kDefaultMeanWork = std::chrono::milliseconds(200);
+
 /** Data for estimating the load of an upstream without a recent report. */
 struct LoadFallback
 {
@@ -40,6 +43,9 @@
   std::optional<double> mRequestsPerSlot;
   /** Number of hosts that may send to the upstream. */
   std::size_t mHosts = 1;
+  /** Mean work time of the service, for an upstream that hasn't run any of this
+   * host's requests. */
+  base::Duration mMeanWork = kDefaultMeanWork;
 };
 
 /**
@@ -103,11 +109,16 @@
   void PostponeHealthCheck(base::TimePoint aNow);
   /** \returns how long requests have been open there without any response,
    * minus a tolerance for long work. */
-  base::Duration UnexplainedSilence(base::TimePoint aNow) const;
+  base::Duration UnexplainedSilence(base::TimePoint aNow,
+                                    const LoadFallback& aFallback) const;
 
 private:
   /** \returns the slots divided evenly among the hosts. */
   double SlotsPerHost(std::size_t aHosts) const;
+  base::Duration MeanWork(const LoadFallback& aFallback) const
+  {
+    return mMeanWork.value_or(aFallback.mMeanWork);
+  }
   void UpdateWorkTimes(base::Duration aWork, base::Duration aExpected);
   /** Updates from an outcome whether the upstream still responds, and pauses it
    * if not. */
@@ -123,8 +134,9 @@
   base::TimePoint mSlownessAt;
   double mSlowness = 1;
   double mWorkTimeRatio = 1;
-  /** Running mean of the time for which a request occupies a slot. */
-  base::Duration mMeanWork = std::chrono::milliseconds(200);
+  /** Running mean of the time for which a request occupies a slot; unset until
+   * the first response. */
+  std::optional<base::Duration> mMeanWork;
   FailureMeter mFailures;
   /** Requests that timed out since the last response. */
   int mSilentTimeouts = 0;
