--- a/packages/placing/src/PlacementCosts.cpp
+++ b/packages/placing/src/PlacementCosts.cpp
@@ -62,6 +62,7 @@
                  : mSettings.mRegionTransferPerKilobyte,
                kilobytes);
 }
+
 Placement::RequestContext Placement::MakeContext(
   base::TimePoint aNow, const Service& aService,
   const PlaceRequest& aRequest) const
@@ -79,6 +80,7 @@
   context.mMeanFailureShare = aService.mFailures.Share(aNow);
   return context;
 }
+
 Placement::Candidate Placement::Evaluate(base::TimePoint aNow,
                                          Upstream& aUpstream, Warmth aWarmth,
                                          const PlaceRequest& aRequest,
--- a/packages/placing/src/PlacementHomes.cpp
+++ b/packages/placing/src/PlacementHomes.cpp
@@ -76,6 +76,7 @@
   capacity.mRegions = std::max(capacity.mRegions, regions.size());
   aService.mLocalHomeShare.Update(aNow, capacity, mShiftLimiter.IsLifted(aNow));
 }
+
 Warmth Placement::WarmthOf(const Upstream& aUpstream,
                            const PlaceRequest& aRequest,
                            const Group& aHomes) const
