--- a/review/standins/backend.cc
+++ b/review/standins/backend.cc
@@ -119,7 +119,23 @@
       AnswerEarly(aConnection, request);
       return;
     }
+    const std::string deadline = request.Field("deadline-ms");
+    const std::int64_t until =
+      arrived + (deadline.empty() ? 60000 : std::atoll(deadline.c_str()));
+    if (!deadline.empty()) {
+      aConnection.SetTimeout(until - lab::MonotonicMs());
+    }
     const lab::ReadEnd end = aConnection.ReadBody(request, false);
+    aConnection.SetTimeout(30000);
+    if (end == lab::ReadEnd::Timeout) {
+      gRecord->Write("backend " + gSettings.mId + " time_up id=" + id +
+                     " bytes=" + std::to_string(request.mBody.size()));
+      Respond(aConnection, "503 Service Unavailable",
+              "Request-Id: " + id +
+                "\r\nNot-Executed: 1\r\nConnection: close\r\n",
+              "");
+      return;
+    }
     if (end != lab::ReadEnd::Complete) {
       gRecord->Write("backend " + gSettings.mId + " incomplete id=" + id +
                      " bytes=" + std::to_string(request.mBody.size()));
@@ -136,9 +152,6 @@
               echo + "Instance-Id: " + gSettings.mId + "\r\n", "");
       continue;
     }
-    const std::string deadline = request.Field("deadline-ms");
-    const std::int64_t until =
-      arrived + (deadline.empty() ? 60000 : std::atoll(deadline.c_str()));
     if (!TakeSlot(until)) {
       gRecord->Write("backend " + gSettings.mId + " rejected id=" + id);
       Respond(aConnection, "503 Service Unavailable",
