--- a/review/standins/put.cc
+++ b/review/standins/put.cc
@@ -1,11 +1,11 @@
 // Writes an object to the store, as the operator does.
 //
-//   put IP:PORT KIND NAME FILE
+//   put IP:PORT KIND NAME FILE [RECORD]
 #include "lab.hpp"
 
 int main(int aCount, char** aWords)
 {
-  if (aCount != 5) {
+  if (aCount < 5) {
     return 2;
   }
   std::string body;
@@ -19,5 +19,10 @@
   const auto response =
     lab::Call(aWords[1], "PUT",
               std::string("/v1/objects/") + aWords[2] + '/' + aWords[3], body);
-  return response && response->Status() == 200 ? 0 : 1;
+  if (!response || response->Status() != 200) {
+    return 1;
+  }
+  lab::Record(aCount > 5 ? aWords[5] : "")
+    .Write(std::string("operator acknowledged ") + aWords[2] + '/' + aWords[3]);
+  return 0;
 }
