--- a/review/build.sh
+++ b/review/build.sh
@@ -11,7 +11,7 @@
 for it in ports store backend put link; do
   compile "review/standins/$it.cc" "$it" &
 done
-for it in 1 2 3 4; do
+for it in 1 2 3 4 5; do
   compile "review/$it/clients.cc" "clients-$it" &
 done
 for it in $(jobs -p); do
--- a/review/standins/backend.cc
+++ b/review/standins/backend.cc
@@ -3,11 +3,18 @@
 //
 //   backend --listen IP:PORT --store IP:PORT --id ID --service NAME --zone ZONE
 //           --slots N --queue N --work-ms N --record FILE [--early-parts N]
+//           [--crash-path TARGET --restart-ms N]
+//
+// With --crash-path TARGET it crashes when it begins to run a request for that
+// target, and is back after --restart-ms as a new lifetime with a new id.
 //
 // With --early-parts it answers a long body before it has read it, without a
 // length, in so many parts over the work time, and reads the rest afterwards.
 #include "lab.hpp"
 
+#include <sys/prctl.h>
+#include <sys/wait.h>
+
 namespace {
 
 struct Settings
@@ -21,6 +28,7 @@
   int mQueue = 9;
   std::int64_t mWorkMs = 410;
   int mEarlyParts = 0;
+  std::string mCrashPath;
 };
 
 Settings gSettings;
@@ -162,6 +170,12 @@
                    request.Method() + " target=" + request.Target() +
                    " bytes=" + std::to_string(request.mBody.size()) +
                    " digest=" + lab::Digest(request.mBody));
+    if (!gSettings.mCrashPath.empty() &&
+        request.Target() == gSettings.mCrashPath) {
+      lab::SleepMs(50);
+      gRecord->Write("backend " + gSettings.mId + " crash id=" + id);
+      _exit(1);
+    }
     const std::int64_t end_of_work =
       std::min(lab::MonotonicMs() + gSettings.mWorkMs, until);
     while (lab::MonotonicMs() < end_of_work && !aConnection.IsPeerGone()) {
@@ -194,6 +208,23 @@
   }
 }
 
+/** Starts a child that serves, and another one with a new id when it ends.
+ * \returns in each child only */
+void RestartAfterCrashes(std::int64_t aRestartMs)
+{
+  const std::string name = gSettings.mId;
+  for (int lifetime = 1;; ++lifetime) {
+    const pid_t child = fork();
+    if (child == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      gSettings.mId = name + '-' + std::to_string(lifetime);
+      return;
+    }
+    waitpid(child, nullptr, 0);
+    lab::SleepMs(aRestartMs);
+  }
+}
+
 } // namespace
 
 int main(int aCount, char** aWords)
@@ -212,6 +243,11 @@
   gSettings.mEarlyParts = static_cast<int>(options.Number("early-parts", 0));
   lab::Record record(options.Text("record"));
   gRecord = &record;
+  gSettings.mCrashPath = options.Text("crash-path");
+  if (!gSettings.mCrashPath.empty()) {
+    RestartAfterCrashes(
+      static_cast<std::int64_t>(options.Number("restart-ms", 2000)));
+  }
   std::thread(Report).detach();
   lab::Serve(gSettings.mListen, Handle);
 }
