--- a/review/standins/deployment.sh
+++ b/review/standins/deployment.sh
@@ -14,6 +14,9 @@
 end_all() {
   local status=$?
   if ((${#pids[@]} > 0)); then
+    # `timeout` passes SIGTERM on to what it runs, but not SIGKILL.
+    kill -TERM "${pids[@]}" 2>/dev/null
+    sleep 0.2
     kill -KILL "${pids[@]}" 2>/dev/null
     wait "${pids[@]}" 2>/dev/null
   fi
