Client: open a connection in advance

Change: Client::OpenIdle() opens a connection, tells whether it was accepted, refused or failed, and keeps an accepted one for the next request. Whether a request is the first one of its connection is counted by the connection, as the idle time of a connection opened in advance doesn't tell.

--- a/packages/http/src/Client.cpp
+++ b/packages/http/src/Client.cpp
@@ -38,7 +38,9 @@
   void OnConnectionClosed(const HttpClientConnection& aConnection) override;
 
   std::shared_ptr<HttpClientConnection> TakeIdle(const ClientRequest& aRequest);
-  std::shared_ptr<HttpClientConnection> Open(const ClientRequest& aRequest);
+  /** \returns a connection that is being opened, or null. */
+  std::shared_ptr<HttpClientConnection> Open(const Endpoint& aEndpoint,
+                                             base::Duration aTimeout);
   void CloseExpired();
 
   Loop& mLoop;
@@ -87,11 +89,11 @@
 }
 
 std::shared_ptr<HttpClientConnection> Client::Impl::Open(
-  const ClientRequest& aRequest)
+  const Endpoint& aEndpoint, base::Duration aTimeout)
 {
-  auto connection = std::make_shared<HttpClientConnection>(
-    mLoop, *this, aRequest.mEndpoint, mOptions);
-  if (!connection->Connect(aRequest.mConnectTimeout)) {
+  auto connection =
+    std::make_shared<HttpClientConnection>(mLoop, *this, aEndpoint, mOptions);
+  if (!connection->Connect(aTimeout)) {
     return nullptr;
   }
   ++mOpenedConnections;
@@ -145,7 +147,7 @@
                                                        std::move(aObserver));
   std::shared_ptr<HttpClientConnection> connection = mImpl->TakeIdle(aRequest);
   if (!connection) {
-    connection = mImpl->Open(aRequest);
+    connection = mImpl->Open(aRequest.mEndpoint, aRequest.mConnectTimeout);
   }
   if (connection) {
     connection->Start(exchange);
@@ -156,6 +158,16 @@
   return exchange;
 }
 
+bool Client::OpenIdle(const Endpoint& aEndpoint, base::Duration aTimeout,
+                      std::function<void(ConnectOutcome)> aDone)
+{
+  const auto connection = mImpl->Open(aEndpoint, aTimeout);
+  if (connection) {
+    connection->NotifyConnected(std::move(aDone));
+  }
+  return connection != nullptr;
+}
+
 void Client::CloseIdle(const Endpoint& aEndpoint)
 {
   const auto idle = mImpl->mIdle.find(aEndpoint);
--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -108,6 +108,16 @@
   std::function<bool(const ResponseHead&, bool aIsFirstRequest)> mIsOwnResponse;
 };
 
+/** How an attempt to connect ended. */
+enum class ConnectOutcome
+{
+  Connected,
+  /** The server's host answered that nothing accepts connections there. */
+  Refused,
+  /** No answer in time, or the server can't be reached. */
+  Failed
+};
+
 /** Limits and timeouts of a Client's connections. */
 struct ClientOptions
 {
@@ -161,6 +171,13 @@
   std::shared_ptr<ClientExchange> Send(
     const ClientRequest& aRequest, std::shared_ptr<ResponseObserver> aObserver);
 
+  /**
+   * Opens a connection and keeps it idle, for the next request to
+   * \a aEndpoint. Calls \a aDone later, unless the client is destroyed first.
+   * \returns whether the attempt was started
+   */
+  bool OpenIdle(const Endpoint& aEndpoint, base::Duration aTimeout,
+                std::function<void(ConnectOutcome)> aDone);
   /** Closes the idle connections to \a aEndpoint. */
   void CloseIdle(const Endpoint& aEndpoint);
   /** \returns the number of connections opened so far. */
--- a/packages/http/src/HttpClientConnection.cpp
+++ b/packages/http/src/HttpClientConnection.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cerrno>
 #include <cstdlib>
 #include <utility>
 
@@ -82,6 +83,8 @@
   mConnectStart = mLoop.Now();
   mConnectTimer = mLoop.After(aTimeout, [this] {
     mConnectTimer.reset();
+    const auto self = shared_from_this();
+    ReportConnected(ConnectOutcome::Failed);
     Fail(FailureKind::ConnectTimeout);
   });
   return true;
@@ -99,6 +102,7 @@
   const std::shared_ptr<ClientExchangeImpl>& aExchange)
 {
   assert(!mExchange);
+  ++mRequests;
   mExchange = aExchange;
   mExchange->Attach(shared_from_this());
   mSkippedBytes = 0;
@@ -122,6 +126,7 @@
 {
   const auto self = shared_from_this();
   StopConnectTimer();
+  mOnConnected = nullptr;
   if (mStream.IsOpen()) {
     mStream.CloseDiscardingUnacknowledged();
     mOwner.OnConnectionClosed(*this);
@@ -156,7 +161,9 @@
 
 void HttpClientConnection::HandleConnected()
 {
-  if (!mStream.IsConnected()) {
+  if (const int error = mStream.ConnectError(); error != 0) {
+    ReportConnected(error == ECONNREFUSED ? ConnectOutcome::Refused
+                                          : ConnectOutcome::Failed);
     Fail(FailureKind::ConnectRefused);
     return;
   }
@@ -164,10 +171,21 @@
   mIsConnected = true;
   if (mExchange) {
     mExchange->HandleConnected(mLoop.Now() - mConnectStart);
+  } else {
+    mIdleSince = mLoop.Now();
+    mOwner.OnIdle(shared_from_this());
   }
+  ReportConnected(ConnectOutcome::Connected);
   FlushNow();
 }
 
+void HttpClientConnection::ReportConnected(ConnectOutcome aOutcome)
+{
+  if (const auto done = std::exchange(mOnConnected, nullptr)) {
+    done(aOutcome);
+  }
+}
+
 void HttpClientConnection::FlushSoon()
 {
   if (!mIsFlushPosted && mIsConnected) {
@@ -309,7 +327,7 @@
     mIdleLimit = *idle - mOptions.mKeepAliveMargin;
   }
   const auto& isOwn = mExchange->Request().mIsOwnResponse;
-  mIsForeign = isOwn && !isOwn(head, !mExchange->IsOnReusedConnection());
+  mIsForeign = isOwn && !isOwn(head, mRequests == 1);
   mHasSeenForeignResponse = mHasSeenForeignResponse || mIsForeign;
   if (!mIsForeign) {
     const auto exchange = mExchange;
--- a/packages/http/src/HttpClientConnection.h
+++ b/packages/http/src/HttpClientConnection.h
@@ -35,8 +35,6 @@
 
   const ClientRequest& Request() const { return mRequest; }
   bool IsPaused() const { return mIsPaused; }
-  /** \returns whether its connection carried other requests before. */
-  bool IsOnReusedConnection() const { return mIdleBefore.has_value(); }
   /** \returns whether the whole request was queued for sending. */
   bool IsRequestComplete() const { return mIsRequestComplete; }
 
@@ -95,6 +93,12 @@
   const Endpoint& RemoteEndpoint() const { return mEndpoint; }
   /** Starts connecting. \returns whether the attempt was started. */
   bool Connect(base::Duration aTimeout);
+  /** Calls \a aDone once connecting has ended, unless Close() is called first.
+   * \pre the connection is not established yet */
+  void NotifyConnected(std::function<void(ConnectOutcome)> aDone)
+  {
+    mOnConnected = std::move(aDone);
+  }
   /** Sends \a aExchange's request. \pre no exchange is on the connection */
   void Start(const std::shared_ptr<ClientExchangeImpl>& aExchange);
   /** \returns whether the connection is open, and idle for less than its own
@@ -132,6 +136,8 @@
   bool IsSkipping() const { return mIsInterim || mIsForeign; }
   void CompleteResponse();
   void Fail(FailureKind aKind);
+  /** Reports the outcome of connecting, if anybody waits for it. */
+  void ReportConnected(ConnectOutcome aOutcome);
   void StopConnectTimer();
 
   Loop& mLoop;
@@ -140,6 +146,7 @@
   ClientOptions mOptions;
   TcpStream mStream;
   std::optional<Loop::TimerId> mConnectTimer;
+  std::function<void(ConnectOutcome)> mOnConnected;
   std::shared_ptr<ClientExchangeImpl> mExchange;
   std::unique_ptr<ResponseReader> mReader;
   std::string mInput;
@@ -149,6 +156,8 @@
   base::TimePoint mIdleSince;
   base::Duration mIdleLimit;
   bool mIsConnected = false;
+  /** Number of requests sent on the connection. */
+  std::uint64_t mRequests = 0;
   bool mIsInterim = false;
   bool mIsForeign = false;
   bool mHasHead = false;
--- a/packages/http/src/TcpStream.cpp
+++ b/packages/http/src/TcpStream.cpp
@@ -100,13 +100,13 @@
   return true;
 }
 
-bool TcpStream::IsConnected() const
+int TcpStream::ConnectError() const
 {
   int error = 0;
   socklen_t length = sizeof error;
-  return mDescriptor >= 0 &&
-         getsockopt(mDescriptor, SOL_SOCKET, SO_ERROR, &error, &length) == 0 &&
-         error == 0;
+  return getsockopt(mDescriptor, SOL_SOCKET, SO_ERROR, &error, &length) == 0
+           ? error
+           : errno;
 }
 
 TcpStream::ReadResult TcpStream::Read(std::string& aOut)
--- a/packages/http/src/TcpStream.h
+++ b/packages/http/src/TcpStream.h
@@ -52,13 +52,14 @@
   void Adopt(int aDescriptor);
   /**
    * Starts connecting from \a aSource (empty for any address). The outcome is
-   * known at the first readiness event, see IsConnected().
+   * known at the first readiness event, see ConnectError().
    * \returns whether the attempt was started
    */
   bool Connect(const Endpoint& aTo, const std::string& aSource,
                const SilenceLimits& aLimits);
-  /** \returns whether connecting succeeded. \pre a readiness event arrived */
-  bool IsConnected() const;
+  /** \returns the error number (errno) with which connecting failed, 0 if it
+   * succeeded. \pre a readiness event arrived */
+  int ConnectError() const;
 
   bool IsOpen() const { return mDescriptor >= 0; }
   int Descriptor() const { return mDescriptor; }
--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -181,6 +181,42 @@
   }
 }
 
+TEST(Http, ConnectionOpenedInAdvanceCarriesTheNextRequest)
+{
+  const base::PortNumber port(19281);
+  const auto server = Echo(port);
+  std::optional<http::ConnectOutcome> outcome;
+  CHECK_TRUE(mClient.OpenIdle({ kAddress, port }, std::chrono::seconds(1),
+                              [&](http::ConnectOutcome aOutcome) {
+                                outcome = aOutcome;
+                                mLoop.Stop();
+                              }));
+  mLoop.Run();
+  CHECK_TRUE(outcome == http::ConnectOutcome::Connected);
+  bool isFirst = false;
+  http::ClientRequest request{ { kAddress, port } };
+  request.mIsOwnResponse = [&](const http::ResponseHead&, bool aIsFirst) {
+    isFirst = aIsFirst;
+    return true;
+  };
+  CHECK_TRUE(Fetch(request).IsOk());
+  CHECK_TRUE(isFirst);
+  CHECK_EQUAL(1U, mClient.OpenedConnections());
+}
+
+TEST(Http, ConnectionOpenedInAdvanceIsRefused)
+{
+  std::optional<http::ConnectOutcome> outcome;
+  CHECK_TRUE(mClient.OpenIdle({ kAddress, base::PortNumber(19282) },
+                              std::chrono::seconds(1),
+                              [&](http::ConnectOutcome aOutcome) {
+                                outcome = aOutcome;
+                                mLoop.Stop();
+                              }));
+  mLoop.Run();
+  CHECK_TRUE(outcome == http::ConnectOutcome::Refused);
+}
+
 // Guards against a request that waits behind another one on its connection.
 TEST(Http, ConcurrentRequestsUseConnectionsOfTheirOwn)
 {
