Probe upstreams after broken connections, to see which of them crashed

Cause: a broken connection counted as a crash only if this host tried another connection to the upstream within a second and was refused. Nothing made it do so: the request's next attempt leaves the upstream out, and the placement avoids it after the failure.

Change: each broken connection is followed by a probe, one connection at a time, which is kept for the next request if accepted; a refusal is the evidence. Responses that broke off after their head, and refused health checks, are evidence too. A request whose next crash would be the third isn't retried before its probe has ended. As crashes are seen everywhere now, of attempts that overlapped in time only one counts: a frequent request has copies at all upstreams that fail together for another reason. Reports between hosts carry the times for that; hosts of older versions ignore them. `daemon` counts each broken connection and has the overlap rule.

CrashQuarantineTest took two crashes at the same instant for a sequence; its attempts now have times one second apart, and a property shows that overlapping ones don't add up.

--- a/packages/cluster/src/CrashReportCodec.cpp
+++ b/packages/cluster/src/CrashReportCodec.cpp
@@ -1,38 +1,59 @@
 #include "cluster/src/CrashReportCodec.h"
 
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
 namespace auburnmux::cluster {
 
 namespace {
 
-/** Maximum upstreams in a report. Senders never exceed it. */
-constexpr int kMaxUpstreams = 16;
+/** Maximum attempts in a report. Senders never exceed it. */
+constexpr int kMaxAttempts = 16;
+
+std::uint32_t ToMilliseconds(base::Duration aTime)
+{
+  const auto n =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+  return static_cast<std::uint32_t>(
+    std::clamp<std::int64_t>(n, 0, std::numeric_limits<std::uint32_t>::max()));
+}
 
 } // namespace
 
-protocol::Envelope ToCrashReport(const base::ServiceId& aService,
+protocol::Envelope ToCrashReport(base::TimePoint aNow,
                                  const retries::CrashRecord& aRecord)
 {
   protocol::Envelope envelope;
   auto& message = *envelope.mutable_crash_report();
   message.set_request_hash(aRecord.mFingerprint.Count());
-  message.set_service(aService.Text());
-  for (const base::UpstreamId& it : aRecord.mUpstreams) {
-    message.add_upstreams(it.Text());
+  for (const retries::CrashedAttempt& it : aRecord.mAttempts) {
+    message.add_upstreams(it.mUpstream.Text());
+    protocol::CrashedAttempt& attempt = *message.add_attempts();
+    attempt.set_upstream(it.mUpstream.Text());
+    attempt.set_crashed_ms_ago(ToMilliseconds(aNow - it.mBroken));
+    attempt.set_lasted_ms(ToMilliseconds(it.mBroken - it.mSent));
   }
   return envelope;
 }
 
 std::optional<retries::CrashRecord> FromWire(
-  const protocol::CrashReport& aMessage)
+  base::TimePoint aNow, const protocol::CrashReport& aMessage)
 {
-  if (aMessage.upstreams_size() > kMaxUpstreams) {
+  if (aMessage.attempts_size() == 0 ||
+      aMessage.attempts_size() > kMaxAttempts) {
     return std::nullopt;
   }
   retries::CrashRecord record;
   record.mFingerprint = retries::Fingerprint(aMessage.request_hash());
-  for (const std::string& it : aMessage.upstreams()) {
-    record.mUpstreams.emplace_back(it);
+  for (const protocol::CrashedAttempt& it : aMessage.attempts()) {
+    const base::TimePoint broken =
+      aNow - std::chrono::milliseconds(it.crashed_ms_ago());
+    record.mAttempts.push_back(
+      { base::UpstreamId(it.upstream()),
+        broken - std::chrono::milliseconds(it.lasted_ms()), broken });
   }
+
   return record;
 }
 
--- a/packages/cluster/src/CrashReportCodec.h
+++ b/packages/cluster/src/CrashReportCodec.h
@@ -5,13 +5,13 @@
 
 namespace auburnmux::cluster {
 
-/** \returns the message that informs peers of a request that crashes upstreams
- * of \a aService. */
-protocol::Envelope ToCrashReport(const base::ServiceId& aService,
+/** \returns the message that informs peers of a request that crashes
+ * upstreams. */
+protocol::Envelope ToCrashReport(base::TimePoint aNow,
                                  const retries::CrashRecord& aRecord);
 
-/** \returns the content, or nothing if it names too many upstreams. */
+/** \returns the content, or nothing if it lists no or too many attempts. */
 std::optional<retries::CrashRecord> FromWire(
-  const protocol::CrashReport& aMessage);
+  base::TimePoint aNow, const protocol::CrashReport& aMessage);
 
 } // namespace auburnmux::cluster
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -230,13 +230,13 @@
   base::LogWarning(base::LogLine("upstream_crash")
                      .With("service", aService)
                      .With("fingerprint", aRecord.mFingerprint)
-                     .With("upstreams", aRecord.mUpstreams.size()));
-  mCluster.Broadcast(cluster::ToCrashReport(aService, aRecord));
+                     .With("upstreams", aRecord.mAttempts.size()));
+  mCluster.Broadcast(cluster::ToCrashReport(mLoop.Now(), aRecord));
 }
 
 void Daemon::Impl::OnCrashReport(const protocol::CrashReport& aMessage)
 {
-  if (const auto record = cluster::FromWire(aMessage)) {
+  if (const auto record = cluster::FromWire(mLoop.Now(), aMessage)) {
     mQuarantine.Merge(mLoop.Now(), *record);
   }
 }
--- a/packages/daemon/src/RequestForwarderAttempts.cpp
+++ b/packages/daemon/src/RequestForwarderAttempts.cpp
@@ -228,8 +228,9 @@
   const bool isCrash = aKind == base::FailureKind::Reset && aMayHaveReached &&
                        !aAttempt.HasHead() && upstream != nullptr;
   if (isCrash) {
+    const base::TimePoint now = mService.Context().mLoop.Now();
     const auto record = mService.Dependencies().mQuarantine.OnCrash(
-      mService.Context().mLoop.Now(), mFingerprint, *upstream);
+      now, mFingerprint, { *upstream, aAttempt.StartTime(), now });
     if (record) {
       mService.Dependencies().mReportCrash(mPlan.mService, *record);
     }
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -207,16 +207,15 @@
   mTick = mLoop.Every(kTick, [this] { OnTick(); });
   mCountTimer = mLoop.Every(kHostCountInterval, [this] {
     UpdateHostCounts();
-    mServices.mCrashes.OnTick(mLoop.Now());
+    mServices.mCrashes.OnTick();
   });
   mServices.mReportLeaving = [this](const base::UpstreamId& aUpstream,
                                     base::TimePoint aSentAt) {
     OnLeavingAnnounced(aUpstream, aSentAt);
   };
-  mServices.mReportCrash = [this](const base::ServiceId& aService,
-                                  const retries::CrashRecord& aRecord) {
-    mCluster.Broadcast(cluster::ToCrashReport(aService, aRecord));
-  };
+  mServices.mCrashes.ReportTo([this](const retries::CrashRecord& aRecord) {
+    mCluster.Broadcast(cluster::ToCrashReport(mLoop.Now(), aRecord));
+  });
 }
 
 void EntryNode::Impl::OnRequest(
@@ -244,8 +243,9 @@
     mCluster.OnMessage(aEnvelope);
     return;
   }
-  if (const auto record = cluster::FromWire(aEnvelope.crash_report())) {
-    mServices.mCrashes.Merge(mLoop.Now(), *record);
+  if (const auto record =
+        cluster::FromWire(mLoop.Now(), aEnvelope.crash_report())) {
+    mServices.mCrashes.Merge(*record);
   }
 }
 
--- a/packages/entry/src/HealthChecks.cpp
+++ b/packages/entry/src/HealthChecks.cpp
@@ -9,11 +9,19 @@
 
 constexpr base::Duration kCheckTimeout = std::chrono::seconds(1);
 
+/** The response of a health check. */
+struct CheckResult
+{
+  /** Unset if there was none in time. */
+  std::optional<http::ResponseHead> mHead;
+  bool mIsConnectRefused = false;
+};
+
 /** Reports the head of the response; the body is not needed. */
 class HeadObserver final : public http::ResponseObserver
 {
 public:
-  using Done = std::function<void(const std::optional<http::ResponseHead>&)>;
+  using Done = std::function<void(const CheckResult&)>;
 
   HeadObserver(http::Loop& aLoop, Done aDone)
     : mLoop(aLoop)
@@ -27,19 +35,20 @@
   void Start(const std::shared_ptr<http::ClientExchange>& aExchange)
   {
     mExchange = aExchange;
-    mTimer = mLoop.After(kCheckTimeout, [this] { Finish(std::nullopt); });
+    mTimer = mLoop.After(kCheckTimeout, [this] { Finish({}); });
   }
 
-  void OnHead(const http::ResponseHead& aHead) override { Finish(aHead); }
+  void OnHead(const http::ResponseHead& aHead) override { Finish({ aHead }); }
   void OnBody(std::string_view /*aPart*/) override {}
   void OnEnd() override {}
-  void OnFailure(const http::Failure& /*aFailure*/) override
+  void OnFailure(const http::Failure& aFailure) override
   {
-    Finish(std::nullopt);
+    Finish(
+      { std::nullopt, aFailure.mKind == http::FailureKind::ConnectRefused });
   }
 
 private:
-  void Finish(const std::optional<http::ResponseHead>& aHead)
+  void Finish(const CheckResult& aResult)
   {
     if (const Done done = std::exchange(mDone, nullptr)) {
       mLoop.Cancel(mTimer);
@@ -49,7 +58,7 @@
             it->Cancel();
           }
         });
-      done(aHead);
+      done(aResult);
     }
   }
 
@@ -88,8 +97,11 @@
   request.mConnectTimeout = kCheckTimeout;
   const auto observer = std::make_shared<HeadObserver>(
     mServices.mLoop, [this, aUpstream, sentAt = mServices.mLoop.Now()](
-                       const std::optional<http::ResponseHead>& aHead) {
-      OnChecked(aUpstream, sentAt, aHead);
+                       const CheckResult& aResult) {
+      if (aResult.mIsConnectRefused) {
+        mServices.mCrashes.OnConnectRefused(aUpstream);
+      }
+      OnChecked(aUpstream, sentAt, aResult.mHead);
     });
   observer->Start(mServices.mClient.Send(request, observer));
 }
--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -83,8 +83,8 @@
   void SendFailure(carriage::Reason aReason);
   /** Cancels the current attempt, so that its upstream stops the work. */
   void CancelAttempt(placing::Outcome aOutcome);
-  /** Reports a failed attempt to the crash detection. */
-  void DetectCrash(const http::Failure& aFailure);
+  /** Reports a failed attempt to the crash watch. */
+  void ReportFailure(const http::Failure& aFailure);
   void StartStragglerTimer();
   /** Replaces an attempt that takes too long by one at another upstream. */
   void ReplaceStraggler();
@@ -126,6 +126,8 @@
    * attempt succeeds. */
   std::shared_ptr<Attempt> mFailureResponse;
   bool mIsAnswered = false;
+  /** Whether the connection of an attempt broke while it was in flight. */
+  bool mHasBroken = false;
 };
 
 } // namespace auburnmux::entry
--- a/packages/entry/src/RequestForwarderAttempts.cpp
+++ b/packages/entry/src/RequestForwarderAttempts.cpp
@@ -42,7 +42,7 @@
 {
   const base::TimePoint now = mServices.mLoop.Now();
   if (!mStateMachine->MayReplaceAttempt() || mAttempt->HasHead() ||
-      mServices.mCrashes.IsRefused(now, mFingerprint)) {
+      mServices.mCrashes.IsRefused(mFingerprint)) {
     return;
   }
   // The upstream of the straggler may be selected again, as it has the object
@@ -125,7 +125,7 @@
     EndAttempt(Outcome::Rejected);
   } else {
     EndAttempt(meaning.mIsFailure ? Outcome::Failed : Outcome::Answered);
-    mServices.mCrashes.OnSuccess(mServices.mLoop.Now(), mFingerprint);
+    mServices.mCrashes.OnSuccess(mFingerprint);
   }
   const carriage::RequestActions actions = mStateMachine->OnResponse(meaning);
   if (actions.empty()) { // the end of a streamed response
@@ -178,31 +178,28 @@
   const bool isUnreachable =
     aFailure.mKind == http::FailureKind::ConnectRefused ||
     aFailure.mKind == http::FailureKind::ConnectTimeout;
-  DetectCrash(aFailure);
+  ReportFailure(aFailure);
   EndAttempt(isUnreachable ? Outcome::Unreachable : Outcome::Failed);
   Execute(mStateMachine->OnAttemptFailed(aFailure.mMayHaveReached));
 }
 
-void RequestForwarder::DetectCrash(const http::Failure& aFailure)
+void RequestForwarder::ReportFailure(const http::Failure& aFailure)
 {
   const base::TimePoint now = mServices.mLoop.Now();
   const base::UpstreamId& upstream = mAttempt->Place().mUpstream;
+  const bool isBroken = aFailure.mKind == http::FailureKind::Reset ||
+                        aFailure.mKind == http::FailureKind::Truncated;
   if (aFailure.mKind == http::FailureKind::ConnectRefused) {
-    for (const retries::CrashRecord& it :
-         mServices.mCrashes.OnRefusedConnection(now, upstream)) {
-      base::LogWarning(base::LogLine("upstream_crash")
-                         .With("upstream", upstream)
-                         .With("fingerprint", it.mFingerprint)
-                         .With("crashes", it.mUpstreams.size()));
-      mServices.mReportCrash(mPlaceRequest.mService, it);
-    }
-  } else if (aFailure.mKind == http::FailureKind::Reset &&
-             aFailure.mMayHaveReached) {
-    mServices.mCrashes.OnBroken(now, upstream, mFingerprint);
-    if (aFailure.mIdleBefore) {
-      mServices.mIdleReuseLimits[mPlaceRequest.mService].OnReset(
-        now, *aFailure.mIdleBefore, mAttempt->Elapsed(), kResetRoundTrip);
-    }
+    mServices.mCrashes.OnConnectRefused(upstream);
+  } else if (isBroken && aFailure.mMayHaveReached) {
+    mHasBroken = true;
+    mServices.mCrashes.OnBroken(mFingerprint,
+                                { upstream, now - mAttempt->Elapsed(), now });
+  }
+  if (aFailure.mKind == http::FailureKind::Reset && aFailure.mMayHaveReached &&
+      aFailure.mIdleBefore) {
+    mServices.mIdleReuseLimits[mPlaceRequest.mService].OnReset(
+      now, *aFailure.mIdleBefore, mAttempt->Elapsed(), kResetRoundTrip);
   }
 }
 
--- a/packages/entry/src/RequestForwarderSelection.cpp
+++ b/packages/entry/src/RequestForwarderSelection.cpp
@@ -33,7 +33,9 @@
   mFingerprint = retries::MakeFingerprint(
     mPlaceRequest.mService, mExchange->Head().mMethod,
     mExchange->Head().mPath + '?' + mExchange->Head().mQuery, mBody);
-  if (mServices.mCrashes.IsRefused(now, mFingerprint)) {
+  const bool mayCrashAgain =
+    mHasBroken && !mServices.mCrashes.MayRetryAfterBreak(mFingerprint);
+  if (mayCrashAgain || mServices.mCrashes.IsRefused(mFingerprint)) {
     Execute(mStateMachine->OnSelectionFailed(Reason::Quarantined,
                                              kQuarantineRetryAfter));
     return;
--- a/packages/entry/src/Services.h
+++ b/packages/entry/src/Services.h
@@ -2,6 +2,7 @@
 
 #include "base/Base.h"
 #include "carriage/Carriage.h"
+#include "entry/src/CrashWatch.h"
 #include "entry/src/Dispatcher.h"
 #include "entry/src/EntrySettings.h"
 #include "entry/src/Translator.h"
@@ -19,9 +20,6 @@
 
 namespace auburnmux::entry {
 
-/** Number of upstreams that a request may crash before all hosts refuse it. */
-constexpr std::uint32_t kCrashThreshold = 3;
-
 /** State shared by all requests of one host; it must outlive them. */
 struct Services
 {
@@ -34,21 +32,16 @@
   routing::SplitSelector mSplits{};
   placing::Placement mPlacement;
   Dispatcher mDispatcher{ mLoop, mPlacement };
-  std::unordered_map<base::UpstreamId, http::Endpoint> mEndpoints{};
+  CrashWatch::Endpoints mEndpoints{};
   std::map<base::ServiceId, carriage::WindowedRetryBudget> mRetryBudgets{};
   /** Longest time left that a request arrived with, by route. */
   std::unordered_map<routing::RouteId, base::Duration> mMaxTimeLeft{};
-  /** Detects and refuses requests that crash upstreams. */
-  retries::CrashGuard mCrashes{ retries::QuarantineSettings{
-    kCrashThreshold } };
+  CrashWatch mCrashes{ mLoop, mClient, mMetrics, mEndpoints };
   retries::StragglerPolicy mStragglers{};
   routing::Confirmation mConfirmation{};
   /** Limits of the idle time of reused connections, by service. */
   std::unordered_map<base::ServiceId, retries::IdleReuseLimit>
     mIdleReuseLimits{};
-  /** Reports a request that crashes upstreams to the other hosts. */
-  std::function<void(const base::ServiceId&, const retries::CrashRecord&)>
-    mReportCrash{};
   /** Reports that an upstream announced its shutdown in a response to a request
    * that was sent at the given time. */
   std::function<void(const base::UpstreamId&, base::TimePoint)>
--- a/packages/retries/src/CrashDetector.cpp
+++ b/packages/retries/src/CrashDetector.cpp
@@ -1,6 +1,7 @@
 #include "retries/src/CrashDetector.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburnmux::retries {
 
@@ -12,54 +13,74 @@
 
 /** Maximum number of failed requests kept for one upstream; it runs no more
  * than this at a time. */
-constexpr std::size_t kMaxFailedRequests = 64;
+constexpr std::size_t kMaxSuspects = 64;
 
 } // namespace
 
-void CrashDetector::RemoveExpiredFrom(base::TimePoint aNow,
-                                      FailedRequests& aRequests)
+void CrashDetector::RemoveExpiredFrom(base::TimePoint aNow, Upstream& aUpstream)
 {
-  while (!aRequests.empty() && aNow - aRequests.front().mAt > kSameCrash) {
-    aRequests.pop_front();
+  std::deque<CrashSuspect>& suspects = aUpstream.mSuspects;
+  while (!suspects.empty() &&
+         aNow - suspects.front().mAttempt.mBroken > kSameCrash) {
+    suspects.pop_front();
   }
 }
 
-void CrashDetector::OnBroken(base::TimePoint aNow,
-                             const base::UpstreamId& aUpstream,
-                             Fingerprint aFingerprint)
+bool CrashDetector::OnBroken(base::TimePoint aNow, Fingerprint aFingerprint,
+                             const CrashedAttempt& aAttempt)
 {
-  FailedRequests& requests = mFailedRequests[aUpstream];
-  RemoveExpiredFrom(aNow, requests);
-  if (requests.size() >= kMaxFailedRequests) {
-    requests.pop_front();
+  Upstream& upstream = mUpstreams[aAttempt.mUpstream];
+  RemoveExpiredFrom(aNow, upstream);
+  if (upstream.mSuspects.size() >= kMaxSuspects) {
+    upstream.mSuspects.pop_front();
   }
-  requests.push_back({ aNow, aFingerprint });
+  upstream.mSuspects.push_back({ aFingerprint, aAttempt });
+  upstream.mHasBrokenSince = upstream.mIsProbed;
+  return !std::exchange(upstream.mIsProbed, true);
 }
 
-std::vector<Fingerprint> CrashDetector::OnRefusedConnection(
+bool CrashDetector::OnProbeEnded(base::TimePoint aNow,
+                                 const base::UpstreamId& aUpstream)
+{
+  const auto it = mUpstreams.find(aUpstream);
+  if (it == mUpstreams.end()) {
+    return false;
+  }
+  Upstream& upstream = it->second;
+  RemoveExpiredFrom(aNow, upstream);
+  upstream.mIsProbed = std::exchange(upstream.mHasBrokenSince, false) &&
+                       !upstream.mSuspects.empty();
+  return upstream.mIsProbed;
+}
+
+std::vector<CrashSuspect> CrashDetector::OnRefusedConnection(
   base::TimePoint aNow, const base::UpstreamId& aUpstream)
 {
-  const auto it = mFailedRequests.find(aUpstream);
-  if (it == mFailedRequests.end()) {
+  const auto it = mUpstreams.find(aUpstream);
+  if (it == mUpstreams.end()) {
     return {};
   }
   RemoveExpiredFrom(aNow, it->second);
-  std::vector<Fingerprint> found;
-  for (const FailedRequest& request : it->second) {
-    if (std::find(found.begin(), found.end(), request.mFingerprint) ==
-        found.end()) {
-      found.push_back(request.mFingerprint);
+  std::vector<CrashSuspect> found;
+  for (const CrashSuspect& suspect : it->second.mSuspects) {
+    const bool isKnown =
+      std::any_of(found.begin(), found.end(), [&](const CrashSuspect& aOther) {
+        return aOther.mFingerprint == suspect.mFingerprint;
+      });
+    if (!isKnown) {
+      found.push_back(suspect);
     }
   }
-  mFailedRequests.erase(it);
+  it->second.mSuspects.clear();
   return found;
 }
 
 void CrashDetector::RemoveExpired(base::TimePoint aNow)
 {
-  for (auto it = mFailedRequests.begin(); it != mFailedRequests.end();) {
+  for (auto it = mUpstreams.begin(); it != mUpstreams.end();) {
     RemoveExpiredFrom(aNow, it->second);
-    it = it->second.empty() ? mFailedRequests.erase(it) : std::next(it);
+    const bool isUnused = it->second.mSuspects.empty() && !it->second.mIsProbed;
+    it = isUnused ? mUpstreams.erase(it) : std::next(it);
   }
 }
 
--- a/packages/retries/src/CrashGuard.cpp
+++ b/packages/retries/src/CrashGuard.cpp
@@ -7,19 +7,26 @@
 {
 }
 
-void CrashGuard::OnBroken(base::TimePoint aNow,
-                          const base::UpstreamId& aUpstream,
-                          Fingerprint aFingerprint)
+bool CrashGuard::OnBroken(base::TimePoint aNow, Fingerprint aFingerprint,
+                          const CrashedAttempt& aAttempt)
 {
-  mDetector.OnBroken(aNow, aUpstream, aFingerprint);
+  return mDetector.OnBroken(aNow, aFingerprint, aAttempt);
+}
+
+bool CrashGuard::OnProbeEnded(base::TimePoint aNow,
+                              const base::UpstreamId& aUpstream)
+{
+  return mDetector.OnProbeEnded(aNow, aUpstream);
 }
 
 std::vector<CrashRecord> CrashGuard::OnRefusedConnection(
   base::TimePoint aNow, const base::UpstreamId& aUpstream)
 {
   std::vector<CrashRecord> records;
-  for (const Fingerprint it : mDetector.OnRefusedConnection(aNow, aUpstream)) {
-    if (const auto record = mQuarantine.OnCrash(aNow, it, aUpstream)) {
+  for (const CrashSuspect& it :
+       mDetector.OnRefusedConnection(aNow, aUpstream)) {
+    if (const auto record =
+          mQuarantine.OnCrash(aNow, it.mFingerprint, it.mAttempt)) {
       records.push_back(*record);
     }
   }
@@ -41,4 +48,10 @@
   return mQuarantine.IsRefused(aNow, aFingerprint);
 }
 
+bool CrashGuard::MayRetryAfterBreak(base::TimePoint aNow,
+                                    Fingerprint aFingerprint) const
+{
+  return mQuarantine.CrashesLeft(aNow, aFingerprint) > 1;
+}
+
 } // namespace auburnmux::retries
--- a/packages/retries/src/CrashGuard.h
+++ b/packages/retries/src/CrashGuard.h
@@ -11,9 +11,12 @@
 public:
   explicit CrashGuard(QuarantineSettings aSettings = {});
 
-  /** A connection broke after the request was sent and before a response. */
-  void OnBroken(base::TimePoint aNow, const base::UpstreamId& aUpstream,
-                Fingerprint aFingerprint);
+  /** A connection broke after the request was sent and before its response was
+   * complete. \returns whether to probe the upstream with a connection */
+  bool OnBroken(base::TimePoint aNow, Fingerprint aFingerprint,
+                const CrashedAttempt& aAttempt);
+  /** The probe ended. \returns whether to probe the upstream again */
+  bool OnProbeEnded(base::TimePoint aNow, const base::UpstreamId& aUpstream);
   /** The upstream refused a connection. \returns the records to send to
    * peers. */
   std::vector<CrashRecord> OnRefusedConnection(
@@ -25,6 +28,9 @@
   void OnTick(base::TimePoint aNow) { mDetector.RemoveExpired(aNow); }
 
   bool IsRefused(base::TimePoint aNow, Fingerprint aFingerprint) const;
+  /** \returns whether a request may be sent again after its connection broke:
+   * it would not be refused if that turned out to be a crash. */
+  bool MayRetryAfterBreak(base::TimePoint aNow, Fingerprint aFingerprint) const;
 
 private:
   CrashDetector mDetector;
--- a/packages/retries/src/CrashQuarantine.cpp
+++ b/packages/retries/src/CrashQuarantine.cpp
@@ -9,9 +9,8 @@
 
 namespace {
 
-/** Maximum number of upstreams stored for one fingerprint; a record names no
- * more than these. */
-constexpr std::size_t kMaxUpstreams = 8;
+/** Maximum number of attempts of a peer's record that are read. */
+constexpr std::size_t kMaxAttempts = 16;
 
 } // namespace
 
@@ -31,46 +30,63 @@
 {
 }
 
-std::optional<CrashRecord> CrashQuarantine::OnCrash(TimePoint aNow,
-                                                    Fingerprint aFingerprint,
-                                                    const UpstreamId& aUpstream)
+std::optional<CrashRecord> CrashQuarantine::OnCrash(
+  TimePoint aNow, Fingerprint aFingerprint, const CrashedAttempt& aAttempt)
 {
   Entry& entry = FindOrInsert(aNow, aFingerprint);
-  const auto known = entry.mUpstreams.find(aUpstream);
-  if (known != entry.mUpstreams.end() &&
-      aNow - known->second.mLast < mSettings.mSameCrashWindow) {
-    return std::nullopt;
-  }
-  if (known == entry.mUpstreams.end() &&
-      entry.mUpstreams.size() >= kMaxUpstreams) {
+  const std::size_t before = entry.mAttempts.size();
+  Add(entry, { aAttempt });
+  UpdateRefusal(aNow, entry);
+  if (entry.mAttempts.size() == before) {
     return std::nullopt;
   }
-  Crashes& crashes = entry.mUpstreams[aUpstream];
-  crashes = { std::min(crashes.mCount + 1, mSettings.mCrashThreshold), aNow };
-  UpdateRefusal(aNow, entry);
-  return MakeRecord(aFingerprint, entry);
+  return CrashRecord{ aFingerprint, entry.mAttempts };
 }
 
 void CrashQuarantine::Merge(TimePoint aNow, const CrashRecord& aRecord)
 {
-  std::map<UpstreamId, std::uint32_t> counts;
-  const std::size_t listed = std::min(
-    aRecord.mUpstreams.size(), kMaxUpstreams * mSettings.mCrashThreshold);
-  for (std::size_t i = 0; i < listed; ++i) {
-    ++counts[aRecord.mUpstreams[i]];
-  }
+  std::vector<CrashedAttempt> attempts = aRecord.mAttempts;
+  attempts.resize(std::min(attempts.size(), kMaxAttempts));
   Entry& entry = FindOrInsert(aNow, aRecord.mFingerprint);
-  for (const auto& [upstream, count] : counts) {
-    const bool isNew = entry.mUpstreams.count(upstream) == 0;
-    if (isNew && entry.mUpstreams.size() >= kMaxUpstreams) {
-      continue;
+  Add(entry, attempts);
+  UpdateRefusal(aNow, entry);
+}
+
+bool CrashQuarantine::IsKnown(const Entry& aEntry,
+                              const CrashedAttempt& aAttempt) const
+{
+  return std::any_of(aEntry.mAttempts.begin(), aEntry.mAttempts.end(),
+                     [&](const CrashedAttempt& aOther) {
+                       return aOther.mUpstream == aAttempt.mUpstream &&
+                              std::chrono::abs(aOther.mBroken -
+                                               aAttempt.mBroken) <
+                                mSettings.mSameCrashWindow;
+                     });
+}
+
+void CrashQuarantine::Add(Entry& aEntry,
+                          const std::vector<CrashedAttempt>& aAttempts) const
+{
+  std::vector<CrashedAttempt> all = aEntry.mAttempts;
+  for (const CrashedAttempt& it : aAttempts) {
+    if (!IsKnown(aEntry, it)) {
+      all.push_back(it);
     }
-    Crashes& crashes = entry.mUpstreams[upstream];
-    if (count > crashes.mCount) {
-      crashes = { std::min(count, mSettings.mCrashThreshold), aNow };
+  }
+  std::stable_sort(all.begin(), all.end(),
+                   [](const CrashedAttempt& aA, const CrashedAttempt& aB) {
+                     return aA.mBroken < aB.mBroken;
+                   });
+  // Taking each attempt that was sent after the last one taken had ended gives
+  // the longest sequence without overlaps.
+  aEntry.mAttempts.clear();
+  for (const CrashedAttempt& it : all) {
+    const bool isLater =
+      aEntry.mAttempts.empty() || it.mSent >= aEntry.mAttempts.back().mBroken;
+    if (isLater && aEntry.mAttempts.size() < mSettings.mCrashThreshold) {
+      aEntry.mAttempts.push_back(it);
     }
   }
-  UpdateRefusal(aNow, entry);
 }
 
 void CrashQuarantine::OnSuccess(TimePoint aNow, Fingerprint aFingerprint)
@@ -87,6 +103,17 @@
          aNow < *it->second.mRefusedUntil;
 }
 
+std::uint32_t CrashQuarantine::CrashesLeft(TimePoint aNow,
+                                           Fingerprint aFingerprint) const
+{
+  const auto it = mEntries.find(aFingerprint);
+  if (it == mEntries.end() || aNow >= it->second.mExpires) {
+    return mSettings.mCrashThreshold;
+  }
+  return mSettings.mCrashThreshold -
+         static_cast<std::uint32_t>(it->second.mAttempts.size());
+}
+
 CrashQuarantine::Entry& CrashQuarantine::FindOrInsert(TimePoint aNow,
                                                       Fingerprint aFingerprint)
 {
@@ -105,27 +132,14 @@
 
 void CrashQuarantine::UpdateRefusal(TimePoint aNow, Entry& aEntry)
 {
-  std::uint32_t total = 0;
-  for (const auto& [upstream, crashes] : aEntry.mUpstreams) {
-    total += crashes.mCount;
-  }
-  if (total >= mSettings.mCrashThreshold && !aEntry.mRefusedUntil) {
+  const bool isRefused = aEntry.mAttempts.size() >= mSettings.mCrashThreshold;
+  if (isRefused && !aEntry.mRefusedUntil) {
     aEntry.mRefusedUntil = aNow + mSettings.mRefusalTime;
   }
   aEntry.mExpires =
     aEntry.mRefusedUntil.value_or(aNow + mSettings.mRefusalTime);
 }
 
-CrashRecord CrashQuarantine::MakeRecord(Fingerprint aFingerprint,
-                                        const Entry& aEntry)
-{
-  CrashRecord record{ aFingerprint, {} };
-  for (const auto& [upstream, crashes] : aEntry.mUpstreams) {
-    record.mUpstreams.insert(record.mUpstreams.end(), crashes.mCount, upstream);
-  }
-  return record;
-}
-
 // Makes room for one entry. Entries that refuse a request are evicted last,
 // because evicting one lets the request crash two more upstreams.
 void CrashQuarantine::Evict(TimePoint aNow)
--- a/packages/retries/src/CrashQuarantine.h
+++ b/packages/retries/src/CrashQuarantine.h
@@ -5,7 +5,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <list>
-#include <map>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
@@ -22,12 +21,19 @@
                             std::string_view aMethod, std::string_view aPath,
                             std::string_view aContent);
 
-/** Crashes attributed to one fingerprint, as sent to peers. An upstream that
- * crashed twice is listed twice. */
+/** An attempt whose connection broke as its upstream crashed. */
+struct CrashedAttempt
+{
+  base::UpstreamId mUpstream;
+  base::TimePoint mSent;
+  base::TimePoint mBroken;
+};
+
+/** Crashes attributed to one fingerprint, as sent to peers. */
 struct CrashRecord
 {
   Fingerprint mFingerprint;
-  std::vector<base::UpstreamId> mUpstreams;
+  std::vector<CrashedAttempt> mAttempts;
 };
 
 /** Bounds of CrashQuarantine. */
@@ -42,8 +48,10 @@
 
 /**
  * Refuses requests that crashed upstreams. A crash resets every request in
- * flight at the upstream, including harmless ones, so a fingerprint that
- * succeeds later is cleared unless it is already refused.
+ * flight at the upstream, including harmless ones. A fingerprint that succeeds
+ * later is therefore cleared unless it is already refused, and of attempts that
+ * overlapped in time only one counts: upstreams that crash together, for
+ * another reason, have copies of any frequent request in flight.
  */
 class CrashQuarantine
 {
@@ -51,35 +59,36 @@
   explicit CrashQuarantine(QuarantineSettings aSettings = {});
 
   /** Counts a crash of an upstream that ran the request. \returns the record
-   * to send to peers; none when the crash was already counted or the maximum
-   * number of upstreams is already recorded. */
+   * to send to peers; none when the crash does not count. */
   std::optional<CrashRecord> OnCrash(base::TimePoint aNow,
                                      Fingerprint aFingerprint,
-                                     const base::UpstreamId& aUpstream);
+                                     const CrashedAttempt& aAttempt);
   /** Merges a peer's record; merging it twice has no further effect. */
   void Merge(base::TimePoint aNow, const CrashRecord& aRecord);
   void OnSuccess(base::TimePoint aNow, Fingerprint aFingerprint);
 
   bool IsRefused(base::TimePoint aNow, Fingerprint aFingerprint) const;
+  /** \returns the number of further crashes after which the request is
+   * refused; 0 if it is. */
+  std::uint32_t CrashesLeft(base::TimePoint aNow,
+                            Fingerprint aFingerprint) const;
   std::size_t Size() const { return mEntries.size(); }
 
 private:
-  struct Crashes
-  {
-    std::uint32_t mCount = 0;
-    base::TimePoint mLast{};
-  };
   struct Entry
   {
-    std::map<base::UpstreamId, Crashes> mUpstreams;
+    /** The attempts that count, in the order of their crashes. */
+    std::vector<CrashedAttempt> mAttempts;
     std::optional<base::TimePoint> mRefusedUntil;
     base::TimePoint mExpires{};
     std::list<Fingerprint>::iterator mLruPosition;
   };
 
   Entry& FindOrInsert(base::TimePoint aNow, Fingerprint aFingerprint);
+  bool IsKnown(const Entry& aEntry, const CrashedAttempt& aAttempt) const;
+  /** Adds attempts and removes those that overlap with an earlier one. */
+  void Add(Entry& aEntry, const std::vector<CrashedAttempt>& aAttempts) const;
   void UpdateRefusal(base::TimePoint aNow, Entry& aEntry);
-  static CrashRecord MakeRecord(Fingerprint aFingerprint, const Entry& aEntry);
   void Evict(base::TimePoint aNow);
   void Erase(Fingerprint aFingerprint);
 
--- a/packages/retries/test/CrashQuarantineTest.cpp
+++ b/packages/retries/test/CrashQuarantineTest.cpp
@@ -9,6 +9,7 @@
 using namespace auburnmux::retries;
 using base::TimePoint;
 using base::UpstreamId;
+using std::chrono::milliseconds;
 using std::chrono::minutes;
 using std::chrono::seconds;
 
@@ -22,6 +23,12 @@
   return UpstreamId("u" + std::to_string(aIndex));
 }
 
+/** An attempt that lasted 10 ms and broke at the given time. */
+CrashedAttempt Attempt(std::uint64_t aUpstream, TimePoint aBroken)
+{
+  return { Name(aUpstream), aBroken - milliseconds(10), aBroken };
+}
+
 } // namespace
 
 TEST_GROUP(CrashQuarantine){};
@@ -41,7 +48,8 @@
         continue;
       }
       ++crashes;
-      const auto record = host.OnCrash(now, kPoison, Name(random.Below(3)));
+      const auto record =
+        host.OnCrash(now, kPoison, Attempt(random.Below(3), now));
       RC_ASSERT(record.has_value());
       for (CrashQuarantine& it : hosts) {
         it.Merge(now, *record);
@@ -57,11 +65,15 @@
 TEST(CrashQuarantine, OneCrashSeenTwiceCountsOnce)
 {
   CrashQuarantine quarantine;
-  quarantine.OnCrash(kStart, kPoison, Name(1));
-  CHECK_FALSE(quarantine.OnCrash(kStart, kPoison, Name(1)).has_value());
-  quarantine.Merge(kStart, { kPoison, { Name(1) } });
-  CHECK_FALSE(quarantine.IsRefused(kStart, kPoison));
-  quarantine.OnCrash(kStart + seconds(30), kPoison, Name(1));
+  quarantine.OnCrash(kStart, kPoison, Attempt(1, kStart));
+  CHECK_FALSE(
+    quarantine.OnCrash(kStart, kPoison, Attempt(1, kStart)).has_value());
+  // The report of another host arrives later than the attempt lasted.
+  const TimePoint later = kStart + milliseconds(300);
+  quarantine.Merge(later, { kPoison, { Attempt(1, later) } });
+  CHECK_FALSE(quarantine.IsRefused(later, kPoison));
+  quarantine.OnCrash(kStart + seconds(30), kPoison,
+                     Attempt(1, kStart + seconds(30)));
   CHECK_TRUE(quarantine.IsRefused(kStart + seconds(30), kPoison));
 }
 
@@ -70,21 +82,68 @@
 TEST(CrashQuarantine, SuccessClearsASingleCrash)
 {
   CrashQuarantine quarantine;
-  quarantine.OnCrash(kStart, kPoison, Name(1));
+  quarantine.OnCrash(kStart, kPoison, Attempt(1, kStart));
   quarantine.OnSuccess(kStart + seconds(1), kPoison);
-  quarantine.OnCrash(kStart + seconds(9), kPoison, Name(2));
+  quarantine.OnCrash(kStart + seconds(8), kPoison,
+                     Attempt(2, kStart + seconds(8)));
   CHECK_FALSE(quarantine.IsRefused(kStart + seconds(9), kPoison));
-  quarantine.OnCrash(kStart + seconds(9), kPoison, Name(3));
+  quarantine.OnCrash(kStart + seconds(9), kPoison,
+                     Attempt(3, kStart + seconds(9)));
   quarantine.OnSuccess(kStart + seconds(10), kPoison);
   CHECK_TRUE(quarantine.IsRefused(kStart + seconds(10), kPoison));
 }
 
+// Guards against refusing a frequent request because several upstreams crashed
+// together, for another reason, while each had copies of it in flight.
+TEST(CrashQuarantine, AttemptsThatOverlappedCountOnce)
+{
+  CHECK_PROPERTY("crashes of overlapping attempts", [](std::uint64_t aSeed) {
+    base::Random random(aSeed);
+    std::vector<CrashQuarantine> hosts(3);
+    for (std::uint64_t i = 0; i < 12; ++i) {
+      CrashQuarantine& host = hosts[random.Below(hosts.size())];
+      const TimePoint broken = kStart + milliseconds(random.Below(100));
+      const TimePoint sent = kStart - milliseconds(1 + random.Below(400));
+      const auto record =
+        host.OnCrash(kStart, kPoison, { Name(i), sent, broken });
+      for (CrashQuarantine& it : hosts) {
+        if (record) {
+          it.Merge(kStart, *record);
+        }
+        RC_ASSERT(!it.IsRefused(kStart, kPoison));
+        RC_ASSERT(it.CrashesLeft(kStart, kPoison) == 1U);
+      }
+    }
+  });
+}
+
+// Guards against missing crashes because their reports arrive in another order.
+TEST(CrashQuarantine, SequenceIsFoundInAnyOrderOfReports)
+{
+  CHECK_PROPERTY("order of reports", [](std::uint64_t aSeed) {
+    base::Random random(aSeed);
+    std::vector<CrashedAttempt> attempts{
+      Attempt(1, kStart), Attempt(2, kStart + milliseconds(20)),
+      Attempt(3, kStart + milliseconds(40))
+    };
+    for (std::size_t i = attempts.size(); i > 1; --i) {
+      std::swap(attempts[i - 1], attempts[random.Below(i)]);
+    }
+    CrashQuarantine quarantine(QuarantineSettings{ 3 });
+    for (const CrashedAttempt& it : attempts) {
+      RC_ASSERT(!quarantine.IsRefused(kStart, kPoison));
+      quarantine.Merge(kStart, { kPoison, { it } });
+    }
+    RC_ASSERT(quarantine.IsRefused(kStart, kPoison));
+  });
+}
+
 // Guards against a refusal that never ends, and one that ends early.
 TEST(CrashQuarantine, RefusalLastsTenMinutes)
 {
   CrashQuarantine quarantine;
-  quarantine.OnCrash(kStart, kPoison, Name(1));
-  quarantine.OnCrash(kStart, kPoison, Name(2));
+  quarantine.OnCrash(kStart, kPoison, Attempt(1, kStart - seconds(1)));
+  quarantine.OnCrash(kStart, kPoison, Attempt(2, kStart));
   CHECK_TRUE(quarantine.IsRefused(kStart + minutes(10) - seconds(1), kPoison));
   CHECK_FALSE(quarantine.IsRefused(kStart + minutes(10), kPoison));
 }
@@ -96,11 +155,11 @@
   QuarantineSettings settings;
   settings.mMaxEntries = 100;
   CrashQuarantine quarantine(settings);
-  quarantine.OnCrash(kStart, kPoison, Name(1));
-  quarantine.OnCrash(kStart, kPoison, Name(2));
-  const std::vector<UpstreamId> many(100000, Name(3));
+  quarantine.OnCrash(kStart, kPoison, Attempt(1, kStart - seconds(1)));
+  quarantine.OnCrash(kStart, kPoison, Attempt(2, kStart));
+  const std::vector<CrashedAttempt> many(100000, Attempt(3, kStart));
   for (std::uint64_t i = 100; i < 5000; ++i) {
-    quarantine.OnCrash(kStart, Fingerprint(i), Name(1));
+    quarantine.OnCrash(kStart, Fingerprint(i), Attempt(1, kStart));
     CHECK_TRUE(quarantine.Size() <= 100);
   }
   quarantine.Merge(kStart, { Fingerprint(5000), many });
