Tell hosts that join which requests crash upstreams

Cause: crashes are reported to the hosts that are live at that time. A host that starts later, or was out of reach, knew nothing and let a request that all others refuse crash three more upstreams. A rolling restart of seven hosts allows 21 late attempts, where BUDGET allows three.

A refusal lasts ten minutes from the last crash, not from the arrival of the report, so that hosts which tell each other don't prolong it.

Not covered: hosts that all end together.

--- a/packages/cluster/src/ClusterNode.cpp
+++ b/packages/cluster/src/ClusterNode.cpp
@@ -1,5 +1,6 @@
 #include "cluster/src/ClusterNode.h"
 
+#include "cluster/src/CrashReportCodec.h"
 #include "cluster/src/HeartbeatCodec.h"
 
 #include <utility>
@@ -98,6 +99,7 @@
   , mViewChanged(std::move(aViewChanged))
   , mVersionAnnounced(std::move(aVersionAnnounced))
   , mMembership(mSettings, aLoop.Now(), aRandom)
+  , mJoinedHosts(mSettings.mSelf)
 {
   mView = mMembership.View();
 }
@@ -160,6 +162,17 @@
   }
 }
 
+void ClusterNode::InformJoinedHosts(
+  const std::vector<retries::CrashRecord>& aRefused)
+{
+  for (const membership::HostIdentity& host :
+       mJoinedHosts.OnView(LiveHosts())) {
+    for (const retries::CrashRecord& it : aRefused) {
+      mTransport.Send(ToEndpoint(host.Peer()), ToCrashReport(mLoop.Now(), it));
+    }
+  }
+}
+
 void ClusterNode::Execute(const membership::Actions& aActions)
 {
   for (const membership::Action& it : aActions) {
--- a/packages/cluster/src/ClusterNode.h
+++ b/packages/cluster/src/ClusterNode.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "cluster/src/JoinedHosts.h"
 #include "membership/Membership.h"
 #include "peer/Peer.h"
+#include "retries/Retries.h"
 #include "telemetry/Telemetry.h"
 
 #include <functional>
@@ -44,6 +46,9 @@
   void ObserveState(StateObserver aObserver);
   /** Sends a message to all hosts of LiveHosts() except this one. */
   void Broadcast(const protocol::Envelope& aEnvelope);
+  /** Sends all of \a aRefused to the hosts that have joined since the last
+   * call; to be called when the view has changed. */
+  void InformJoinedHosts(const std::vector<retries::CrashRecord>& aRefused);
 
   /** \returns all known hosts in id order, this host included. */
   const std::vector<membership::HostView>& View() const { return mView; }
@@ -81,6 +86,7 @@
   membership::Membership mMembership;
   std::vector<membership::HostView> mView;
   std::uint64_t mViewVersion = 0;
+  JoinedHosts mJoinedHosts;
   bool mIsLeaving = false;
 };
 
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -211,6 +211,7 @@
 {
   mLookup.OnViewChanged();
   mSpill.OnViewChanged();
+  mCluster.InformJoinedHosts(mQuarantine.Refused(mLoop.Now()));
   if (const config::Snapshot* snapshot = mConfig.State().InForce()) {
     mServiceManager.Configure(*snapshot);
   }
--- a/packages/entry/src/CrashWatch.cpp
+++ b/packages/entry/src/CrashWatch.cpp
@@ -106,6 +106,11 @@
   return mGuard.IsRefused(mLoop.Now(), aFingerprint);
 }
 
+std::vector<retries::CrashRecord> CrashWatch::Refused() const
+{
+  return mGuard.Refused(mLoop.Now());
+}
+
 bool CrashWatch::MayRetryAfterBreak(retries::Fingerprint aFingerprint) const
 {
   return mGuard.MayRetryAfterBreak(mLoop.Now(), aFingerprint);
--- a/packages/entry/src/CrashWatch.h
+++ b/packages/entry/src/CrashWatch.h
@@ -40,6 +40,8 @@
   void OnTick();
 
   bool IsRefused(retries::Fingerprint aFingerprint) const;
+  /** \returns the requests that are refused. */
+  std::vector<retries::CrashRecord> Refused() const;
   /** \sa retries::CrashGuard::MayRetryAfterBreak */
   bool MayRetryAfterBreak(retries::Fingerprint aFingerprint) const;
 
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -252,6 +252,7 @@
 void EntryNode::Impl::OnViewChanged()
 {
   mActiveHosts.OnView(mLoop.Now(), mCluster.View());
+  mCluster.InformJoinedHosts(mServices.mCrashes.Refused());
   UpdateHostCounts();
 }
 
--- a/packages/retries/src/CrashGuard.cpp
+++ b/packages/retries/src/CrashGuard.cpp
@@ -48,6 +48,11 @@
   return mQuarantine.IsRefused(aNow, aFingerprint);
 }
 
+std::vector<CrashRecord> CrashGuard::Refused(base::TimePoint aNow) const
+{
+  return mQuarantine.Refused(aNow);
+}
+
 bool CrashGuard::MayRetryAfterBreak(base::TimePoint aNow,
                                     Fingerprint aFingerprint) const
 {
--- a/packages/retries/src/CrashGuard.h
+++ b/packages/retries/src/CrashGuard.h
@@ -28,6 +28,8 @@
   void OnTick(base::TimePoint aNow) { mDetector.RemoveExpired(aNow); }
 
   bool IsRefused(base::TimePoint aNow, Fingerprint aFingerprint) const;
+  /** \returns the requests that are refused, to send to a host that joins. */
+  std::vector<CrashRecord> Refused(base::TimePoint aNow) const;
   /** \returns whether a request may be sent again after its connection broke:
    * it would not be refused if that turned out to be a crash. */
   bool MayRetryAfterBreak(base::TimePoint aNow, Fingerprint aFingerprint) const;
--- a/packages/retries/src/CrashQuarantine.cpp
+++ b/packages/retries/src/CrashQuarantine.cpp
@@ -103,6 +103,17 @@
          aNow < *it->second.mRefusedUntil;
 }
 
+std::vector<CrashRecord> CrashQuarantine::Refused(TimePoint aNow) const
+{
+  std::vector<CrashRecord> refused;
+  for (const auto& [fingerprint, entry] : mEntries) {
+    if (IsRefused(aNow, fingerprint)) {
+      refused.push_back({ fingerprint, entry.mAttempts });
+    }
+  }
+  return refused;
+}
+
 std::uint32_t CrashQuarantine::CrashesLeft(TimePoint aNow,
                                            Fingerprint aFingerprint) const
 {
@@ -134,7 +145,8 @@
 {
   const bool isRefused = aEntry.mAttempts.size() >= mSettings.mCrashThreshold;
   if (isRefused && !aEntry.mRefusedUntil) {
-    aEntry.mRefusedUntil = aNow + mSettings.mRefusalTime;
+    aEntry.mRefusedUntil =
+      aEntry.mAttempts.back().mBroken + mSettings.mRefusalTime;
   }
   aEntry.mExpires =
     aEntry.mRefusedUntil.value_or(aNow + mSettings.mRefusalTime);
--- a/packages/retries/src/CrashQuarantine.h
+++ b/packages/retries/src/CrashQuarantine.h
@@ -68,6 +68,8 @@
   void OnSuccess(base::TimePoint aNow, Fingerprint aFingerprint);
 
   bool IsRefused(base::TimePoint aNow, Fingerprint aFingerprint) const;
+  /** \returns the requests that are refused, to send to a host that joins. */
+  std::vector<CrashRecord> Refused(base::TimePoint aNow) const;
   /** \returns the number of further crashes after which the request is
    * refused; 0 if it is. */
   std::uint32_t CrashesLeft(base::TimePoint aNow,
--- a/packages/retries/test/CrashQuarantineTest.cpp
+++ b/packages/retries/test/CrashQuarantineTest.cpp
@@ -148,6 +148,24 @@
   CHECK_FALSE(quarantine.IsRefused(kStart + minutes(10), kPoison));
 }
 
+// Guards against a host that has started and lets a request crash upstreams
+// that all others refuse.
+TEST(CrashQuarantine, JoinedHostRefusesWhatOthersRefuseAndNoLonger)
+{
+  CrashQuarantine quarantine;
+  quarantine.OnCrash(kStart, kPoison, Attempt(1, kStart));
+  CHECK_TRUE(quarantine.Refused(kStart).empty());
+  const TimePoint crash = kStart + seconds(1);
+  quarantine.OnCrash(crash, kPoison, Attempt(2, crash));
+  CrashQuarantine joined;
+  for (const CrashRecord& it : quarantine.Refused(crash + minutes(5))) {
+    joined.Merge(crash + minutes(5), it);
+  }
+  CHECK_TRUE(joined.IsRefused(crash + minutes(5), kPoison));
+  CHECK_FALSE(joined.IsRefused(crash + minutes(10), kPoison));
+  CHECK_TRUE(quarantine.Refused(crash + minutes(10)).empty());
+}
+
 // Guards against unbounded memory use through callers or peers, and against a
 // flood of fingerprints that evicts a refusal.
 TEST(CrashQuarantine, MemoryIsBoundedAndRefusalsStayLongest)
