Distinguish refused connections from those that couldn't be opened

Cause: a host without descriptors or ports left, and one without a route to an upstream, reported FailureKind::ConnectRefused, which is the evidence of a crash: requests in flight at that upstream could be refused for ten minutes.

Change: only ECONNREFUSED is ConnectRefused; other failures to connect are ConnectFailed. Placement and retries treat both alike, as before.

Test: Http.ConnectionThatCannotBeOpenedIsNotRefusedByTheServer, which doesn't compile on the code before; its condition there was ConnectRefused.

--- a/packages/daemon/src/RequestForwarderAttempts.cpp
+++ b/packages/daemon/src/RequestForwarderAttempts.cpp
@@ -38,6 +38,7 @@
 {
   switch (aKind) {
     case http::FailureKind::ConnectRefused:
+    case http::FailureKind::ConnectFailed:
       return base::FailureKind::Refused;
     case http::FailureKind::ConnectTimeout:
       return base::FailureKind::ConnectTimeout;
--- a/packages/entry/src/RequestForwarderAttempts.cpp
+++ b/packages/entry/src/RequestForwarderAttempts.cpp
@@ -177,6 +177,7 @@
   const auto self = shared_from_this();
   const bool isUnreachable =
     aFailure.mKind == http::FailureKind::ConnectRefused ||
+    aFailure.mKind == http::FailureKind::ConnectFailed ||
     aFailure.mKind == http::FailureKind::ConnectTimeout;
   ReportFailure(aFailure);
   EndAttempt(isUnreachable ? Outcome::Unreachable : Outcome::Failed);
--- a/packages/http/src/Client.cpp
+++ b/packages/http/src/Client.cpp
@@ -153,7 +153,7 @@
     connection->Start(exchange);
   } else {
     mImpl->mLoop.Post(
-      [exchange] { exchange->HandleFailure(FailureKind::ConnectRefused); });
+      [exchange] { exchange->HandleFailure(FailureKind::ConnectFailed); });
   }
   return exchange;
 }
--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -16,8 +16,11 @@
 /** Why an exchange ended without a complete response. */
 enum class FailureKind
 {
+  /** The server's host answered that nothing accepts connections there. */
   ConnectRefused,
   ConnectTimeout,
+  /** The server can't be reached, or no connection could be opened here. */
+  ConnectFailed,
   /** The connection ended before the response head was received. */
   Reset,
   /** The connection or the body ended before the response was complete. */
--- a/packages/http/src/HttpClientConnection.cpp
+++ b/packages/http/src/HttpClientConnection.cpp
@@ -162,9 +162,10 @@
 void HttpClientConnection::HandleConnected()
 {
   if (const int error = mStream.ConnectError(); error != 0) {
-    ReportConnected(error == ECONNREFUSED ? ConnectOutcome::Refused
-                                          : ConnectOutcome::Failed);
-    Fail(FailureKind::ConnectRefused);
+    const bool isRefused = error == ECONNREFUSED;
+    ReportConnected(isRefused ? ConnectOutcome::Refused
+                              : ConnectOutcome::Failed);
+    Fail(isRefused ? FailureKind::ConnectRefused : FailureKind::ConnectFailed);
     return;
   }
   StopConnectTimer();
--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -217,6 +217,25 @@
   CHECK_TRUE(outcome == http::ConnectOutcome::Refused);
 }
 
+// Guards against taking an upstream for crashed because this host has no
+// descriptors or ports left.
+TEST(Http, ConnectionThatCannotBeOpenedIsNotRefusedByTheServer)
+{
+  http::Client client(mLoop, "192.0.2.1"); // not an address of this machine
+  const http::Endpoint server{ kAddress, base::PortNumber(19283) };
+  std::optional<http::Failure> failure;
+  http::Fetch(mLoop, client, { server }, {}, std::chrono::seconds(10),
+              [&](const FetchResult& aResult) {
+                failure = aResult.mFailure;
+                mLoop.Stop();
+              });
+  mLoop.Run();
+  CHECK_TRUE(failure.has_value());
+  CHECK_TRUE(failure->mKind == http::FailureKind::ConnectFailed);
+  CHECK_FALSE(client.OpenIdle(server, std::chrono::seconds(1),
+                              [](http::ConnectOutcome /*aOutcome*/) {}));
+}
+
 // Guards against a request that waits behind another one on its connection.
 TEST(Http, ConcurrentRequestsUseConnectionsOfTheirOwn)
 {
