Tests of responses without end, and less memory for streamed ones

Report of other operators: a faulty upstream sent bytes without end, in a head or a body, until its caller closed, and the host that kept them ran out of memory. It can't happen here in `entry`: a head is limited to 64 KiB, responses to other requests to 1 MiB, an awaited body is buffered up to 256 KiB and then relayed with back-pressure, and the request's time limit closes the connection.

Change: the buffered part of a streamed response is released when it has been passed on, 256 KiB a request while a client reads slowly.

--- a/packages/entry/src/Attempt.h
+++ b/packages/entry/src/Attempt.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace auburnmux::entry {
 
@@ -46,6 +47,8 @@
   http::ClientExchange& Exchange() { return *mExchange; }
   const http::ResponseHead& Head() const { return mHead; }
   const std::string& Body() const { return mBody; }
+  /** \returns the buffered body, which is no longer kept. */
+  std::string TakeBody() { return std::exchange(mBody, {}); }
   base::Duration Elapsed() const;
   /** \returns what the response's head states; empty before its arrival. */
   const ResponseFields& Fields() const { return mFields; }
--- a/packages/entry/src/RequestForwarderAttempts.cpp
+++ b/packages/entry/src/RequestForwarderAttempts.cpp
@@ -147,7 +147,7 @@
   http::ResponseHead head = mAttempt->Head();
   http::RemoveHopByHop(head.mHeaders);
   mExchange->SendHead(head);
-  mExchange->SendBody(mAttempt->Body());
+  mExchange->SendBody(mAttempt->TakeBody());
 }
 
 void RequestForwarder::OnAttemptBody(std::string_view aPart)
--- a/packages/http/test/EndlessBytesTest.cpp
+++ b/packages/http/test/EndlessBytesTest.cpp
@@ -28,6 +28,7 @@
     , mThread([this, aPrefix, aPart] { Run(aPrefix, aPart); })
   {
   }
+  /** Waits until the client has closed the connection. */
   ~EndlessUpstream() { mThread.join(); }
   EndlessUpstream(const EndlessUpstream&) = delete;
   EndlessUpstream& operator=(const EndlessUpstream&) = delete;
@@ -59,9 +60,9 @@
   http::Loop mLoop;
   http::Client mClient{ mLoop };
 
-  FetchResult Fetch()
+  FetchResult Fetch(const std::string& aMethod = "GET")
   {
-    http::ClientRequest request{ { "127.0.0.1", kPort }, "GET", "/" };
+    http::ClientRequest request{ { "127.0.0.1", kPort }, aMethod, "/" };
     request.mIsOwnResponse = [](const http::ResponseHead& aHead,
                                 bool /*aIsFirstRequest*/) {
       return !aHead.mHeaders.Find("foreign");
@@ -153,3 +154,13 @@
 {
   CheckFetchFails("HTTP/1.1 200 OK\r\n\r\n", "body");
 }
+
+// The bytes arrive at a connection that is idle again.
+TEST(EndlessBytes, BehindTheResponseToAHeadRequest)
+{
+  const EndlessUpstream upstream("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n",
+                                 "body");
+  CHECK_TRUE(Fetch("HEAD").IsOk());
+  mLoop.After(100ms, [this] { mLoop.Stop(); });
+  mLoop.Run();
+}
