Take a response that was reset for broken, whichever call meets the reset

Cause: the kernel reports a socket's error once. While a part of the request is unsent, send() meets the reset, and recv() then returns 0 as after an orderly close. A response without a length ends with its connection. Change: TcpStream remembers that a call failed and reports the end of input as broken from then on. All users of the client have it: entry, daemon, health checks, the store, copies of other hosts.

--- a/packages/http/src/HttpClientConnection.cpp
+++ b/packages/http/src/HttpClientConnection.cpp
@@ -213,7 +213,7 @@
     mMayHaveUnread = true;
     Process();
     if (mStream.IsOpen()) {
-      Fail(FailureKind::Reset);
+      Fail(mHasHead ? FailureKind::Truncated : FailureKind::Reset);
     }
   } else if (mExchange && mStream.PendingBytes() == 0) {
     const auto exchange = mExchange;
--- a/packages/http/src/TcpStream.cpp
+++ b/packages/http/src/TcpStream.cpp
@@ -120,7 +120,7 @@
     return mayHaveMore ? ReadResult::Data : ReadResult::Blocked;
   }
   if (n == 0) {
-    return ReadResult::End;
+    return mIsBroken ? ReadResult::Broken : ReadResult::End;
   }
   const bool isBlocked = errno == EAGAIN || errno == EINTR;
   return isBlocked ? ReadResult::Blocked : ReadResult::Broken;
@@ -132,7 +132,8 @@
     const ssize_t n = send(mDescriptor, mOutput.data() + mOutputStart,
                            PendingBytes(), MSG_NOSIGNAL);
     if (n < 0) {
-      return errno == EAGAIN || errno == EINTR;
+      mIsBroken = errno != EAGAIN && errno != EINTR;
+      return !mIsBroken;
     }
     mHasSent = mHasSent || n > 0;
     mOutputStart += static_cast<std::size_t>(n);
--- a/packages/http/src/TcpStream.h
+++ b/packages/http/src/TcpStream.h
@@ -99,6 +99,9 @@
   std::size_t mOutputStart = 0;
   bool mHasSent = false;
   bool mIsHungUp = false;
+  /** Whether a call failed. The kernel reports an error once; later reads look
+   * as if the peer had closed the connection in order. */
+  bool mIsBroken = false;
 };
 
 } // namespace auburnmux::http::internal
--- a/packages/http/test/support/LoopbackSocket.h
+++ b/packages/http/test/support/LoopbackSocket.h
@@ -76,6 +76,13 @@
     }
     return { received, n == 0 };
   }
+  /** Closes the connection by a reset, also if all data was read. */
+  void Reset()
+  {
+    const linger discard{ 1, 0 };
+    setsockopt(mDescriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+    Close();
+  }
   void Close()
   {
     if (mDescriptor >= 0) {
