Keep the parts of an upload that arrive while it is queued

Cause: RequestForwarder::OnBody() dropped each part for which there was no attempt, and didn't pause the client. Change: carriage::RequestBody owns the body; a part is buffered, kept or passed on. The client is paused while no attempt takes parts, so that little more than the 1 MiB buffer is held. The fingerprint of a streamed request is taken from the buffer's size of it, so that repeats have the same one. `daemon` pauses the client between attempts, too; it kept such parts without a bound. RequestBody is checked as a property over drawn orders of parts, free slots, failures and the end.

--- /dev/null
+++ b/packages/carriage/src/RequestBody.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace auburnmux::carriage {
+
+/**
+ * The body of a request on its way from the client to an upstream. A short body
+ * is buffered, so that it can be sent again. A longer one is sent once, while
+ * it arrives; what arrives while no attempt takes it is kept, and the client is
+ * to be paused.
+ */
+class RequestBody
+{
+public:
+  /** What to do with a part that has arrived. */
+  enum class Arrival
+  {
+    /** It was buffered; more may follow. */
+    Buffered,
+    /** It was buffered, and the body is too long to be sent again: the request
+     * is ready to be sent. */
+    Overflowed,
+    /** It was kept; the client is to be paused until an attempt begins. */
+    Kept,
+    /** It is to be sent to the attempt. */
+    Forward
+  };
+
+  /** \param aMaxBuffered longest body that can be sent again, in bytes */
+  explicit RequestBody(std::size_t aMaxBuffered);
+
+  Arrival OnPart(std::string_view aPart);
+  void OnEnd() { mIsComplete = true; }
+  /** An attempt begins. \returns what has arrived so far and is to be sent to
+   * it. \pre MayBeSent() */
+  std::string OnAttemptBegins();
+  /** The attempt takes no more parts. */
+  void OnAttemptEnded() { mHasAttempt = false; }
+
+  /** \returns whether the whole body has arrived. */
+  bool IsComplete() const { return mIsComplete; }
+  /** \returns whether the body is too long to be sent again. */
+  bool IsStreamed() const { return mIsStreamed; }
+  /** \returns whether an attempt can get the whole body: a streamed one was not
+   * sent before. */
+  bool MayBeSent() const { return !mIsStreamed || !mWasSent; }
+  /** \returns whether an attempt takes the parts. */
+  bool HasAttempt() const { return mHasAttempt; }
+  /** \returns the size of what is held. */
+  std::size_t Size() const { return mHeld.size(); }
+  /** \returns the first bytes of the body, which identify it: all of a body
+   * that is not streamed, and as many as are buffered of others. */
+  std::string_view Prefix() const;
+
+private:
+  std::size_t mMaxBuffered;
+  std::string mHeld;
+  bool mIsComplete = false;
+  bool mIsStreamed = false;
+  bool mWasSent = false;
+  bool mHasAttempt = false;
+};
+
+} // namespace auburnmux::carriage
--- /dev/null
+++ b/packages/carriage/test/RequestBodyTest.cpp
@@ -0,0 +1,139 @@
+#include "carriage/Carriage.h"
+
+#include "base/test/support/Property.h"
+
+#include <optional>
+#include <string>
+
+using namespace auburnmux;
+using carriage::RequestBody;
+
+namespace {
+
+constexpr std::size_t kMaxBuffered = 100;
+
+/** A client, a host and an upstream that exchange one body in a drawn order of
+ * events. Reads of the client that were under way when it was paused still
+ * arrive. */
+struct Exchange
+{
+  base::Random mRandom;
+  RequestBody mBody{ kMaxBuffered };
+  std::string mSent;
+  /** What the current attempt has received. */
+  std::optional<std::string> mReceived;
+  std::size_t mKeptSincePause = 0;
+  bool mIsPaused = false;
+  bool mIsEnded = false;
+
+  explicit Exchange(std::uint64_t aSeed)
+    : mRandom(aSeed)
+  {
+  }
+
+  void ClientSends()
+  {
+    constexpr std::size_t kMaxInFlight = 3;
+    if (mIsEnded || (mIsPaused && ++mKeptSincePause > kMaxInFlight)) {
+      return;
+    }
+    std::string part(1 + mRandom.Below(60), 'x');
+    for (char& it : part) {
+      it = static_cast<char>('a' + mRandom.Below(26));
+    }
+    mSent += part;
+    switch (mBody.OnPart(part)) {
+      case RequestBody::Arrival::Forward:
+        *mReceived += part;
+        break;
+      case RequestBody::Arrival::Overflowed:
+      case RequestBody::Arrival::Kept:
+        mKeptSincePause = mIsPaused ? mKeptSincePause : 0;
+        mIsPaused = true;
+        break;
+      case RequestBody::Arrival::Buffered:
+        break;
+    }
+  }
+  void ClientEnds()
+  {
+    if (!mIsEnded && !mIsPaused) {
+      mIsEnded = true;
+      mBody.OnEnd();
+    }
+  }
+  void SlotIsFree()
+  {
+    const bool isReady = mBody.IsStreamed() || mBody.IsComplete();
+    if (!mReceived && isReady && mBody.MayBeSent()) {
+      mReceived = mBody.OnAttemptBegins();
+      mIsPaused = false;
+    }
+  }
+  void AttemptFails()
+  {
+    if (mReceived) {
+      mReceived.reset();
+      mBody.OnAttemptEnded();
+    }
+  }
+};
+
+} // namespace
+
+TEST_GROUP(RequestBody){};
+
+// Guards against a part of a body that is lost or sent twice because it arrives
+// while the request is queued, between attempts or while one is under way.
+TEST(RequestBody, AttemptHasAllThatTheClientSentInAnyOrderOfEvents)
+{
+  CHECK_PROPERTY("a body arrives whole", [](std::uint64_t aSeed) {
+    Exchange exchange(aSeed);
+    for (int i = 0; i < 60; ++i) {
+      switch (exchange.mRandom.Below(8)) {
+        case 0:
+          exchange.ClientEnds();
+          break;
+        case 1:
+        case 2:
+          exchange.SlotIsFree();
+          break;
+        case 3:
+          exchange.AttemptFails();
+          break;
+        default:
+          exchange.ClientSends();
+      }
+      if (exchange.mReceived) {
+        RC_ASSERT(*exchange.mReceived == exchange.mSent);
+      }
+      // A part that fills the buffer, and those on their way to a paused host.
+      RC_ASSERT(exchange.mBody.Size() <= kMaxBuffered + 60 + 4 * 60);
+    }
+  });
+}
+
+// Guards against a streamed body that is sent again without its beginning.
+TEST(RequestBody, StreamedOneIsSentOnce)
+{
+  RequestBody body(kMaxBuffered);
+  CHECK_TRUE(body.OnPart(std::string(101, 'x')) ==
+             RequestBody::Arrival::Overflowed);
+  CHECK_TRUE(body.OnPart("kept") == RequestBody::Arrival::Kept);
+  CHECK_EQUAL(105U, body.OnAttemptBegins().size());
+  CHECK_TRUE(body.OnPart("more") == RequestBody::Arrival::Forward);
+  body.OnAttemptEnded();
+  CHECK_FALSE(body.MayBeSent());
+}
+
+// Guards against a long body that is taken for another one when it is repeated,
+// as different amounts of it had arrived.
+TEST(RequestBody, PrefixDoesNotDependOnHowMuchHasArrived)
+{
+  RequestBody one(kMaxBuffered);
+  one.OnPart(std::string(101, 'x'));
+  RequestBody other(kMaxBuffered);
+  other.OnPart(std::string(100, 'x'));
+  other.OnPart(std::string(60, 'y'));
+  CHECK_TRUE(one.Prefix() == other.Prefix());
+}
--- a/packages/daemon/src/RequestForwarder.cpp
+++ b/packages/daemon/src/RequestForwarder.cpp
@@ -48,6 +48,9 @@
   }
   if (!IsStreamed() || mAttempts.empty()) {
     mBody += aPart;
+    if (IsStreamed()) {
+      mExchange->PauseReading(true); // until the next attempt starts
+    }
     return;
   }
   UpstreamAttempt& attempt = *mAttempts.front();
--- a/packages/entry/src/RequestForwarder.cpp
+++ b/packages/entry/src/RequestForwarder.cpp
@@ -112,7 +112,7 @@
     Execute(mStateMachine->OnRefused(Reason::Stopping, kStoppingRetryAfter));
     return;
   }
-  if (mIsBodyComplete) {
+  if (mBody.IsComplete()) {
     Execute(mStateMachine->OnReadyToSend());
   }
 }
@@ -179,35 +179,41 @@
   if (!mStateMachine || mStateMachine->IsEnded()) {
     return;
   }
-  if (mIsBodyStreaming) {
-    if (mAttempt) {
+  switch (mBody.OnPart(aPart)) {
+    case carriage::RequestBody::Arrival::Buffered:
+      return;
+    case carriage::RequestBody::Arrival::Overflowed:
+      mExchange->PauseReading(true); // until an attempt begins
+      mStateMachine->OnBodyNotBuffered();
+      Execute(mStateMachine->OnReadyToSend());
+      return;
+    case carriage::RequestBody::Arrival::Kept:
+      mExchange->PauseReading(true);
+      return;
+    case carriage::RequestBody::Arrival::Forward:
       mAttempt->Exchange().SendBody(aPart);
-      mExchange->PauseReading(mAttempt->Exchange().PendingBytes() >
-                              kMaxPendingBytes);
-    }
-    return;
-  }
-  mBody += aPart;
-  if (mBody.size() > kMaxBufferedBodyBytes) {
-    mIsBodyStreaming = true;
-    mStateMachine->OnBodyNotBuffered();
-    Execute(mStateMachine->OnReadyToSend());
+      PauseClientIfBehind();
+      return;
   }
 }
 
 void RequestForwarder::OnBodyEnd()
 {
-  mIsBodyComplete = true;
+  mBody.OnEnd();
   if (!mStateMachine || mStateMachine->IsEnded()) {
     return;
   }
-  if (mIsBodyStreaming) {
-    if (mAttempt) {
-      mAttempt->Exchange().EndBody();
-    }
-    return;
+  if (!mBody.IsStreamed()) {
+    Execute(mStateMachine->OnReadyToSend());
+  } else if (mBody.HasAttempt()) {
+    mAttempt->Exchange().EndBody();
   }
-  Execute(mStateMachine->OnReadyToSend());
+}
+
+void RequestForwarder::PauseClientIfBehind()
+{
+  mExchange->PauseReading(mAttempt->Exchange().PendingBytes() >
+                          kMaxPendingBytes);
 }
 
 } // namespace auburnmux::entry
--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -78,6 +78,8 @@
   void Send(const placing::Placed& aPlace);
   http::ClientRequest MakeRequest(const base::UpstreamId& aUpstream) const;
   base::Duration TimeLeft() const;
+  /** Pauses the client while the attempt's upstream reads more slowly. */
+  void PauseClientIfBehind();
   void EndAttempt(placing::Outcome aOutcome);
   void Relay();
   void SendFailure(carriage::Reason aReason);
@@ -115,10 +117,7 @@
   base::TimePoint mDeadline;
   /** Until when a response meets the route's latency target. */
   base::TimePoint mLatencyDeadline;
-  std::string mBody;
-  bool mIsBodyComplete = false;
-  /** Whether the body exceeded the buffer, so that the rest is not kept. */
-  bool mIsBodyStreaming = false;
+  carriage::RequestBody mBody{ kMaxBufferedBodyBytes };
   std::shared_ptr<Attempt> mAttempt;
   /** Whether the placement still counts the attempt at its upstream. */
   bool mIsAttemptOpen = false;
--- a/packages/entry/src/RequestForwarderAttempts.cpp
+++ b/packages/entry/src/RequestForwarderAttempts.cpp
@@ -89,6 +89,7 @@
   if (!std::exchange(mIsAttemptOpen, false)) {
     return;
   }
+  mBody.OnAttemptEnded();
   placing::PlacedResult result;
   result.mUpstream = mAttempt->Place().mUpstream;
   result.mOutcome = aOutcome;
@@ -167,8 +168,8 @@
 
 void RequestForwarder::OnAttemptWritable()
 {
-  if (mIsBodyStreaming) {
-    mExchange->PauseReading(false);
+  if (mBody.HasAttempt()) {
+    PauseClientIfBehind();
   }
 }
 
--- a/packages/entry/src/RequestForwarderSelection.cpp
+++ b/packages/entry/src/RequestForwarderSelection.cpp
@@ -19,7 +19,7 @@
 void RequestForwarder::SelectUpstream(bool aUsesRetryBudget)
 {
   const base::TimePoint now = mServices.mLoop.Now();
-  if (mIsBodyStreaming && mStateMachine->Attempts() > 0) {
+  if (!mBody.MayBeSent()) {
     Execute(mStateMachine->OnSelectionFailed(
       Reason::Rejected, mStateMachine->RejectedRetryAfter()));
     return;
@@ -32,7 +32,7 @@
   }
   mFingerprint = retries::MakeFingerprint(
     mPlaceRequest.mService, mExchange->Head().mMethod,
-    mExchange->Head().mPath + '?' + mExchange->Head().mQuery, mBody);
+    mExchange->Head().mPath + '?' + mExchange->Head().mQuery, mBody.Prefix());
   const bool mayCrashAgain =
     mHasBroken && !mServices.mCrashes.MayRetryAfterBreak(mFingerprint);
   if (mayCrashAgain || mServices.mCrashes.IsRefused(mFingerprint)) {
@@ -43,7 +43,7 @@
   mPlaceRequest.mAllowedRegions = mRoute->mAllowedRegions;
   constexpr std::size_t kTypicalHeadAndResponse = 2000;
   mPlaceRequest.mBytes =
-    base::ByteCount(mBody.size() + kTypicalHeadAndResponse);
+    base::ByteCount(mBody.Size() + kTypicalHeadAndResponse);
   if (mRoute->mHasAffinity && mFields.mObject) {
     mPlaceRequest.mObject = placing::ObjectHash(
       base::Hash64(*mFields.mObject + ' ' + mPlaceRequest.mKind));
@@ -122,8 +122,8 @@
   request.mHeaders = head.mHeaders;
   http::RemoveHopByHop(request.mHeaders);
   mServices.mTranslator.WriteAttempt(request.mHeaders, TimeLeft(), aUpstream);
-  if (head.mIsChunked && !mIsBodyStreaming) {
-    request.mContentLength = base::ByteCount(mBody.size());
+  if (head.mIsChunked && !mBody.IsStreamed()) {
+    request.mContentLength = base::ByteCount(mBody.Size());
   } else {
     request.mContentLength = head.mContentLength;
     request.mIsChunked = head.mIsChunked;
@@ -149,9 +149,11 @@
   mIsAttemptOpen = true;
   mAttempt = std::make_shared<Attempt>(mServices, *this, aPlace);
   mAttempt->Start(MakeRequest(aPlace.mUpstream));
-  mAttempt->Exchange().SendBody(mBody);
-  if (mIsBodyComplete) {
+  mAttempt->Exchange().SendBody(mBody.OnAttemptBegins());
+  if (mBody.IsComplete()) {
     mAttempt->Exchange().EndBody();
+  } else {
+    PauseClientIfBehind();
   }
   StartStragglerTimer();
 }
