End the attempt of a request that its connection refuses

Cause: the server held bodies on their way to the new limit and answered 413 in place of the request's owner. The owner learned of it as if its own response had been sent, and went away without ending its attempt, which referred to it by a plain pointer. Change: a request is held to the limit in force when it began. A refusal ends the exchange for its owner at once and is an exchange of its own; after the response's head, the connection is closed instead of dropping parts. Attempts refer to their owner weakly.

--- a/packages/entry/src/Attempt.cpp
+++ b/packages/entry/src/Attempt.cpp
@@ -4,10 +4,10 @@
 
 namespace auburnmux::entry {
 
-Attempt::Attempt(Services& aServices, AttemptObserver& aObserver,
+Attempt::Attempt(Services& aServices, std::weak_ptr<AttemptObserver> aObserver,
                  const placing::Placed& aPlace)
   : mServices(aServices)
-  , mObserver(&aObserver)
+  , mObserver(std::move(aObserver))
   , mPlace(aPlace)
   , mStart(aServices.mLoop.Now())
 {
@@ -20,7 +20,7 @@
 
 void Attempt::Cancel()
 {
-  mObserver = nullptr;
+  mObserver.reset();
   mExchange->Cancel();
 }
 
@@ -81,38 +81,39 @@
 
 void Attempt::OnBody(std::string_view aPart)
 {
-  if (mObserver == nullptr) {
+  const auto observer = mObserver.lock();
+  if (!observer) {
     return;
   }
   if (mIsStreaming) {
-    mObserver->OnAttemptBody(aPart);
+    observer->OnAttemptBody(aPart);
     return;
   }
   mBody += aPart;
   if (mBody.size() > kMaxBufferedBodyBytes) {
     mIsStreaming = true;
-    mObserver->OnAttemptStreaming();
+    observer->OnAttemptStreaming();
   }
 }
 
 void Attempt::OnEnd()
 {
-  if (mObserver != nullptr) {
-    std::exchange(mObserver, nullptr)->OnAttemptResponse();
+  if (const auto observer = std::exchange(mObserver, {}).lock()) {
+    observer->OnAttemptResponse();
   }
 }
 
 void Attempt::OnFailure(const http::Failure& aFailure)
 {
-  if (mObserver != nullptr) {
-    std::exchange(mObserver, nullptr)->OnAttemptFailed(aFailure);
+  if (const auto observer = std::exchange(mObserver, {}).lock()) {
+    observer->OnAttemptFailed(aFailure);
   }
 }
 
 void Attempt::OnWritable()
 {
-  if (mObserver != nullptr) {
-    mObserver->OnAttemptWritable();
+  if (const auto observer = mObserver.lock()) {
+    observer->OnAttemptWritable();
   }
 }
 
--- a/packages/entry/src/Attempt.h
+++ b/packages/entry/src/Attempt.h
@@ -35,7 +35,7 @@
   static constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{ 256 }
                                                        << 10U;
 
-  Attempt(Services& aServices, AttemptObserver& aObserver,
+  Attempt(Services& aServices, std::weak_ptr<AttemptObserver> aObserver,
           const placing::Placed& aPlace);
 
   /** Sends the request. */
@@ -70,7 +70,8 @@
   void LogLimit() const;
 
   Services& mServices;
-  AttemptObserver* mObserver;
+  /** Expired once no event is to follow. */
+  std::weak_ptr<AttemptObserver> mObserver;
   placing::Placed mPlace;
   std::shared_ptr<http::ClientExchange> mExchange;
   base::TimePoint mStart;
--- a/packages/entry/src/RequestForwarderResponses.cpp
+++ b/packages/entry/src/RequestForwarderResponses.cpp
@@ -92,8 +92,8 @@
 
 void RequestForwarder::OnClosed(bool aIsComplete)
 {
-  if (!aIsComplete && mStateMachine && !mStateMachine->IsEnded()) {
-    LogEnd("client_gone", 0);
+  if (mStateMachine && !mStateMachine->IsEnded()) {
+    LogEnd(aIsComplete ? "ended_by_connection" : "client_gone", 0);
     Execute(mStateMachine->OnCallerGone());
   }
   LeaveQueue();
--- a/packages/entry/src/RequestForwarderSelection.cpp
+++ b/packages/entry/src/RequestForwarderSelection.cpp
@@ -147,7 +147,7 @@
 {
   mPlaceRequest.mTried.push_back(aPlace.mUpstream);
   mIsAttemptOpen = true;
-  mAttempt = std::make_shared<Attempt>(mServices, *this, aPlace);
+  mAttempt = std::make_shared<Attempt>(mServices, weak_from_this(), aPlace);
   mAttempt->Start(MakeRequest(aPlace.mUpstream));
   mAttempt->Exchange().SendBody(mBody.OnAttemptBegins());
   if (mBody.IsComplete()) {
--- a/packages/http/src/HttpServerConnection.cpp
+++ b/packages/http/src/HttpServerConnection.cpp
@@ -168,13 +168,14 @@
 {
   mIsReadingHead = false;
   mBodyBytes = 0;
+  mMaxBody = mOwner.Limits().mMaxBody;
   mKeepsAlive = mReader->KeepsAlive();
   RequestHead head = mReader->TakeHead();
   head.mClientAddress = mClientAddress;
   const bool hasBody = head.mIsChunked || (head.mContentLength &&
                                            head.mContentLength->Count() > 0);
   const bool isTooLarge =
-    head.mContentLength && *head.mContentLength > mOwner.Limits().mMaxBody;
+    head.mContentLength && *head.mContentLength > mMaxBody;
   const bool hasHost = head.mHeaders.Find("host").has_value();
   const auto expect = head.mHeaders.Find("expect");
   const bool isExpecting = hasBody && expect && *expect == "100-continue";
@@ -206,15 +207,26 @@
     return;
   }
   mBodyBytes += aPart.size();
-  if (mBodyBytes <= mOwner.Limits().mMaxBody.Count()) {
+  if (mExchange->IsFinished()) {
+    return; // the rest of a body that is no longer needed
+  }
+  if (mBodyBytes <= mMaxBody.Count()) {
     mExchange->HandleBody(aPart);
   } else if (!mExchange->IsHeadSent()) {
     Refuse(413, "the request body is too large");
+  } else {
+    Close(); // a part that is dropped would go unnoticed
   }
 }
 
 void HttpServerConnection::Refuse(int aStatus, std::string_view aReason)
 {
+  RequestHead head;
+  if (const auto refused = std::exchange(mExchange, nullptr)) {
+    head.mMethod = refused->Head().mMethod;
+    refused->HandleClosed(false);
+  }
+  mExchange = std::make_shared<ServerExchangeImpl>(*this, std::move(head));
   const auto exchange = mExchange;
   exchange->CloseAfterResponse();
   exchange->Respond(
@@ -225,10 +237,7 @@
 
 void HttpServerConnection::RefuseHead(int aStatus, std::string_view aReason)
 {
-  // No exchange exists for an incomplete or malformed head, so the error
-  // response gets one with an empty request head.
   mIsReadingHead = false;
-  mExchange = std::make_shared<ServerExchangeImpl>(*this, RequestHead{});
   mInputStart = mInput.size();
   Refuse(aStatus, aReason);
 }
--- a/packages/http/src/HttpServerConnection.h
+++ b/packages/http/src/HttpServerConnection.h
@@ -121,6 +121,8 @@
   /** \returns whether parsing should continue with the remaining input. */
   bool ParseInput();
   void BeginExchange();
+  /** Ends the exchange, if any, as incomplete, and sends a response in its
+   * place. */
   void Refuse(int aStatus, std::string_view aReason);
   void RefuseHead(int aStatus, std::string_view aReason);
   void FlushNow();
@@ -136,6 +138,8 @@
   std::unique_ptr<RequestReader> mReader;
   std::shared_ptr<ServerExchangeImpl> mExchange;
   std::uint64_t mBodyBytes = 0;
+  /** The limit that was in force when the request began. */
+  base::ByteCount mMaxBody;
   // Start of the idle time, of reading a head or of the lingering close.
   base::TimePoint mPhaseStart;
   bool mKeepsAlive = true;
