Follow rejections with a long body by another attempt

Cause (found by the users beside the report on endless bytes): a response that says "not run", or that comes from another upstream than the one asked, was streamed to the client once its body passed 256 KiB, in place of another attempt. Change: the body of a rejection is dropped as it arrives. If it is longer than 16 KiB, by its head or by what has arrived, the connection is closed and the decision is made at once. `daemon` does the same for its own marker. Tests: Rejection.*; the two with a long body failed on (421 and 503 were passed on instead of the other upstream's 200). The change in daemon has no test of its own.

--- a/packages/daemon/src/RequestForwarderAttempts.cpp
+++ b/packages/daemon/src/RequestForwarderAttempts.cpp
@@ -50,6 +50,10 @@
   return base::FailureKind::Reset;
 }
 
+/** Longest body of a rejection that is read, so that the connection can carry
+ * other requests. */
+constexpr std::size_t kMaxRejectionBodyBytes = std::size_t{ 16 } * 1024;
+
 bool IsNotStarted(const http::ResponseHead& aHead)
 {
   return aHead.mStatus >= 400 &&
@@ -99,6 +103,9 @@
   const auto self = shared_from_this();
   aAttempt.RecordProgress(mService.Context().mLoop.Now());
   ReportUpstreamSignals(aAttempt);
+  if (IsNotStarted(aAttempt.Head())) {
+    return; // another attempt may follow
+  }
   if (IsStreamed() && aAttempt.Head().mStatus < 500) {
     CommitTo(aAttempt);
   }
@@ -129,6 +136,15 @@
     }
     return;
   }
+  if (IsNotStarted(aAttempt.Head())) {
+    aAttempt.Body() += aPart;
+    if (aAttempt.Body().size() > kMaxRejectionBodyBytes) {
+      const auto keep = aAttempt.shared_from_this();
+      aAttempt.Cancel();
+      Fail(aAttempt, base::FailureKind::NotStarted, false);
+    }
+    return;
+  }
   const bool fitsBuffer =
     aAttempt.Body().size() + aPart.size() <= kMaxBufferedResponseBytes;
   const bool isError = aAttempt.Head().mStatus >= 500;
--- a/packages/entry/src/Attempt.cpp
+++ b/packages/entry/src/Attempt.cpp
@@ -37,6 +37,19 @@
   if (!mFields.mIsOtherUpstream) {
     ReportUpstream();
   }
+  if (IsRejection() && aHead.mContentLength &&
+      aHead.mContentLength->Count() > kMaxRejectionBodyBytes) {
+    EndRejection();
+  }
+}
+
+void Attempt::EndRejection()
+{
+  const auto observer = std::exchange(mObserver, {}).lock();
+  mExchange->Cancel();
+  if (observer) {
+    observer->OnAttemptResponse();
+  }
 }
 
 void Attempt::ReportUpstream()
@@ -85,6 +98,13 @@
   if (!observer) {
     return;
   }
+  if (IsRejection()) {
+    mDroppedBytes += aPart.size();
+    if (mDroppedBytes > kMaxRejectionBodyBytes) {
+      EndRejection();
+    }
+    return;
+  }
   if (mIsStreaming) {
     observer->OnAttemptBody(aPart);
     return;
--- a/packages/entry/src/Attempt.h
+++ b/packages/entry/src/Attempt.h
@@ -34,6 +34,10 @@
   /** Longest response body that is buffered whole; longer ones are streamed. */
   static constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{ 256 }
                                                        << 10U;
+  /** Longest body of a rejection that is read, so that the connection can carry
+   * other requests. */
+  static constexpr std::size_t kMaxRejectionBodyBytes = std::size_t{ 16 }
+                                                        << 10U;
 
   Attempt(Services& aServices, std::weak_ptr<AttemptObserver> aObserver,
           const placing::Placed& aPlace);
@@ -62,6 +66,14 @@
   void OnWritable() override;
 
 private:
+  /** \returns whether the upstream stated that it didn't run the request, so
+   * that another attempt may follow and the body is not needed. */
+  bool IsRejection() const
+  {
+    return mFields.mIsNotRun || mFields.mIsOtherUpstream;
+  }
+  /** Ends the attempt before the rest of a rejection's body has arrived. */
+  void EndRejection();
   /** Applies what the head states about the upstream itself. */
   void ReportUpstream();
   /** Logs for how long the upstream wants no requests. */
@@ -78,6 +90,8 @@
   http::ResponseHead mHead;
   ResponseFields mFields;
   std::string mBody;
+  /** Bytes of a rejection's body that were dropped. */
+  std::size_t mDroppedBytes = 0;
   bool mHasHead = false;
   bool mIsStreaming = false;
 };
