Spread the first requests to a cold upstream over the hosts

Cause: each host's share of the cold rate is a token bucket that started with a whole token, so that 79 hosts could send 79 requests at once to an upstream that appears or becomes cold again. The first suspect, the delay of the watches, isn't needed: the test has no delay. Change: at the start of the cold time each host has a part of a token, drawn from its name and the upstream's, so that the first requests are spread as evenly as later ones. Tests: Placement.ColdUpstreamGetsItsRateFromTheStartWhereHostsAreMany and UpstreamThatBecomesColdAgainGetsItsRateFromTheStart failed before (79 hosts, 2.3 a second, bound 1.5 times that and 10).

--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -45,10 +45,22 @@
               base::Hash64(aSpec.mId.Text()), false,
               mEvacuated.count(aSpec.mDataCentre) > 0, aNow + aColdFor,
               TokenBucket(ColdRate(aSpec), 1), WarmObjects() });
+  StartColdTime(aNow, *upstream);
   mServices[aSpec.mService].mUpstreams.push_back(upstream.get());
   mUpstreams[aSpec.mId] = std::move(upstream);
 }
 
+void Placement::StartColdTime(base::TimePoint aNow, Upstream& aUpstream) const
+{
+  // A host's share of the rate is a request in seconds or minutes where hosts
+  // are many. If each of them had a whole token at first, all would send at
+  // once; parts that differ spread their first requests evenly.
+  const std::uint64_t hash =
+    base::CombineHash(aUpstream.mHash, base::Hash64(mHostCounts.mSelf.Text()));
+  constexpr double kRange = 18446744073709551616.0; // of 64 bits
+  aUpstream.mColdTokens.SetTokens(aNow, static_cast<double>(hash) / kRange);
+}
+
 void Placement::Remove(base::TimePoint aNow, const base::UpstreamId& aId)
 {
   const auto it = mUpstreams.find(aId);
@@ -96,6 +108,7 @@
   upstream->mColdUntil = aNow + aColdFor;
   if (!wasCold && aColdFor > base::Duration::zero()) {
     upstream->mWarm.Clear();
+    StartColdTime(aNow, *upstream);
   }
 }
 
@@ -111,6 +124,9 @@
     const bool isEvacuated = mEvacuated.count(upstream->mSpec.mDataCentre) > 0;
     const bool was = std::exchange(upstream->mIsEvacuated, isEvacuated);
     if (was && !isEvacuated) {
+      if (upstream->mColdUntil <= aNow) {
+        StartColdTime(aNow, *upstream);
+      }
       upstream->mColdUntil = std::max(upstream->mColdUntil, aNow + aColdFor);
     }
   }
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -321,6 +321,8 @@
   base::Duration TransferCost(const Upstream& aUpstream,
                               base::ByteCount aBytes) const;
   double ColdRate(const UpstreamSpec& aSpec) const;
+  /** The upstream has become cold: its rate starts anew. */
+  void StartColdTime(base::TimePoint aNow, Upstream& aUpstream) const;
   LimitShare ShareOf(const Upstream& aUpstream, double aLimit) const;
   /** \returns when the first upstream of a service that has none to use takes
    * requests again, as far as that is known. */
--- a/packages/placing/src/TokenBucket.h
+++ b/packages/placing/src/TokenBucket.h
@@ -27,12 +27,14 @@
     mRate = aRate;
     mBurst = aBurst;
   }
-  /** Removes all tokens. */
-  void Clear(base::TimePoint aNow)
+  /** Sets the number of tokens. */
+  void SetTokens(base::TimePoint aNow, double aTokens)
   {
-    mTokens = 0;
+    mTokens = aTokens;
     mUpdatedAt = aNow;
   }
+  /** Removes all tokens. */
+  void Clear(base::TimePoint aNow) { SetTokens(aNow, 0); }
 
   /** \returns the time until \a aCount events are allowed. \pre the rate is
    * above 0 */
--- a/packages/placing/test/PlacementTest.cpp
+++ b/packages/placing/test/PlacementTest.cpp
@@ -189,6 +189,84 @@
   });
 }
 
+namespace {
+
+/** Hosts with requests waiting for one upstream, which is cold. */
+struct ColdFleet
+{
+  static constexpr std::size_t kHosts = 79;
+  static constexpr double kRate = 2.3;
+
+  std::list<Placement> mPlacements;
+  std::vector<int> mSent;
+
+  explicit ColdFleet(base::Duration aColdFor)
+  {
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      mPlacements.emplace_back(PlacingSettings(), base::DataCentreId("here-a"),
+                               base::RegionId("here"));
+      HostCounts counts{ kHosts, kHosts, kHosts };
+      counts.mSelf = base::HostId("host-" + std::to_string(i));
+      mPlacements.back().SetHostCounts(At(0), counts);
+      UpstreamSpec spec = MakeSpec("cold", "here");
+      spec.mSlots = base::SlotCount(1000);
+      spec.mColdRate = kRate;
+      mPlacements.back().Add(At(0), spec, aColdFor);
+    }
+  }
+  void Run(int aFrom, int aTo)
+  {
+    for (int now = aFrom; now < aTo; now += 10) {
+      for (Placement& it : mPlacements) {
+        const PlaceDecision decision = it.Place(At(now), MakeRequest(1));
+        if (const auto* place = std::get_if<Placed>(&decision)) {
+          mSent.push_back(now);
+          it.OnResult(At(now), MakeRequest(1),
+                      { place->mUpstream, Outcome::Answered });
+        }
+      }
+    }
+  }
+  /** Checks the rate in each second, with the bounds of a fleet of this size.
+   */
+  void CheckRate(int aFrom, int aTo) const
+  {
+    constexpr double kColdOver = 1.5;
+    constexpr double kColdSlack = 10;
+    for (int start = aFrom; start <= aTo - 1000; start += 50) {
+      const auto n =
+        std::count_if(mSent.begin(), mSent.end(), [start](int aTime) {
+          return aTime >= start && aTime < start + 1000;
+        });
+      CHECK_TRUE(static_cast<double>(n) <= kRate * kColdOver + kColdSlack);
+    }
+  }
+};
+
+} // namespace
+
+// Guards against a burst of all hosts at an upstream that has just appeared
+// (easpa-grants-large, trouble-1).
+TEST(Placement, ColdUpstreamGetsItsRateFromTheStartWhereHostsAreMany)
+{
+  ColdFleet fleet(std::chrono::seconds(4));
+  fleet.Run(0, 3000);
+  fleet.CheckRate(0, 3000);
+  CHECK_TRUE(fleet.mSent.size() >= 3);
+}
+
+TEST(Placement, UpstreamThatBecomesColdAgainGetsItsRateFromTheStart)
+{
+  ColdFleet fleet(std::chrono::seconds(0));
+  fleet.Run(0, 100);
+  fleet.mSent.clear();
+  for (Placement& it : fleet.mPlacements) {
+    it.SetCold(At(60000), base::UpstreamId("cold"), std::chrono::seconds(4));
+  }
+  fleet.Run(60000, 63000);
+  fleet.CheckRate(60000, 63000);
+}
+
 TEST(Placement, UnreachableUpstreamPausesUntilItsCheckPasses)
 {
   AddUpstreams(1, 0);
