--- a/packages/http/src/Server.h
+++ b/packages/http/src/Server.h
@@ -90,8 +90,9 @@
   /**
    * Listens on \a aListen and passes each request to \a aHandler once its head
    * is complete. Requests with an unacceptable head are refused with a 4xx or
-   * 5xx before the handler sees them. \a aConnectionObserver is optional and
-   * must outlive the server.
+   * 5xx before the handler sees them. One whose body turns out to be too large
+   * ends as incomplete for its observer, and is refused in its place. \a
+   * aConnectionObserver is optional and must outlive the server.
    */
   Server(Loop& aLoop, const Endpoint& aListen, Handler aHandler,
          ConnectionObserver* aConnectionObserver = nullptr);
@@ -112,8 +113,8 @@
   void CloseIdle();
   /** Refuses new connections from now on. */
   void StopListening();
-  /** Sets the limits. The head size limit applies from the next request on a
-   * connection, the others at once. */
+  /** Sets the limits. Those of sizes apply to requests that begin later, those
+   * of times at once. */
   void SetLimits(const ServerLimits& aLimits);
 
 private:
