--- a/packages/cluster/src/JoinedHosts.h
+++ b/packages/cluster/src/JoinedHosts.h
@@ -8,9 +8,9 @@
 namespace auburnmux::cluster {
 
 /**
- * Selects the hosts to which this host sends what only messages of the past
- * told: those that have started, or are in reach again. A joined host is sent
- * it by each host of its data centre, and by one host of each other one.
+ * Selects the hosts to which this host repeats its earlier reports: those that
+ * have started, or are in reach again. A joined host is sent them by each host
+ * of its data centre, and by one host of each other one.
  */
 class JoinedHosts
 {
