Announce the era of the state beside its revisions

Cause: after the store came back from an older copy it issues revisions again, so announced revisions of two eras can't be compared. Change: Heartbeat and HeartbeatAck have the optional field state_era, which hosts of the older build ignore. Membership and StateLag compare the era first. A heartbeat without one is compared by revisions as before. StoreFeed still announces none. Before, the wire had no such field.

--- a/packages/cluster/src/ClusterNode.cpp
+++ b/packages/cluster/src/ClusterNode.cpp
@@ -82,7 +82,7 @@
   void operator()(const membership::StateAnnounced& aAction) const
   {
     if (mNode.mStateObserver) {
-      mNode.mStateObserver(aAction.mRevisions);
+      mNode.mStateObserver(aAction.mState);
     }
   }
 };
@@ -143,9 +143,9 @@
   Execute(mMembership.SetConfigVersion(mLoop.Now(), aVersion));
 }
 
-void ClusterNode::SetStateRevisions(membership::StateRevisions aRevisions)
+void ClusterNode::SetState(membership::StateSummary aState)
 {
-  mMembership.SetStateRevisions(std::move(aRevisions));
+  mMembership.SetState(std::move(aState));
 }
 
 void ClusterNode::ObserveState(StateObserver aObserver)
--- a/packages/cluster/src/ClusterNode.h
+++ b/packages/cluster/src/ClusterNode.h
@@ -22,7 +22,7 @@
 {
 public:
   using ViewChanged = std::function<void()>;
-  using StateObserver = std::function<void(const membership::StateRevisions&)>;
+  using StateObserver = std::function<void(const membership::StateSummary&)>;
   using VersionAnnounced =
     std::function<void(const http::Endpoint&, base::ConfigVersion)>;
 
@@ -40,7 +40,7 @@
   void StartLeaving();
   void SetConfigVersion(base::ConfigVersion aVersion);
   /** Announces the changes of the platform's state that this host has. */
-  void SetStateRevisions(membership::StateRevisions aRevisions);
+  void SetState(membership::StateSummary aState);
   /** Calls \a aObserver when a peer announces changes that this host hasn't
    * announced. */
   void ObserveState(StateObserver aObserver);
--- a/packages/cluster/src/HeartbeatCodec.cpp
+++ b/packages/cluster/src/HeartbeatCodec.cpp
@@ -113,9 +113,12 @@
   for (const membership::HostUpdate& it : aPayload.mUpdates) {
     ToWire(it, *aOut.add_updates());
   }
-  for (const membership::StateRevision& it : aPayload.mStateRevisions) {
+  for (const membership::StateRevision& it : aPayload.mState.mRevisions) {
     aOut.add_state_revisions(it.Count());
   }
+  if (aPayload.mState.mEra) {
+    aOut.set_state_era(aPayload.mState.mEra->Count());
+  }
 }
 
 template<typename Message>
@@ -131,7 +134,10 @@
   payload.mNumber = membership::HeartbeatNumber(aMessage.number());
   payload.mConfigVersion = base::ConfigVersion(aMessage.config_version());
   for (const std::uint64_t it : aMessage.state_revisions()) {
-    payload.mStateRevisions.emplace_back(it);
+    payload.mState.mRevisions.emplace_back(it);
+  }
+  if (aMessage.has_state_era()) {
+    payload.mState.mEra = membership::StateEra(aMessage.state_era());
   }
   for (const protocol::HostUpdate& it : aMessage.updates()) {
     auto update = FromWire(it);
--- a/packages/cluster/src/StateLag.cpp
+++ b/packages/cluster/src/StateLag.cpp
@@ -3,8 +3,8 @@
 namespace auburnmux::cluster {
 
 void StateLag::OnAnnounced(base::TimePoint aNow,
-                           membership::StateRevision aAnnounced,
-                           membership::StateRevision aOwn)
+                           const membership::StatePosition& aAnnounced,
+                           const membership::StatePosition& aOwn)
 {
   if (aAnnounced <= aOwn || (mAwaited && aOwn < *mAwaited)) {
     return;
@@ -14,7 +14,7 @@
 }
 
 bool StateLag::IsBehind(base::TimePoint aNow,
-                        membership::StateRevision aOwn) const
+                        const membership::StatePosition& aOwn) const
 {
   return mAwaited && aOwn < *mAwaited && aNow - mAwaitedSince >= mMaxLag;
 }
--- a/packages/cluster/src/StateLag.h
+++ b/packages/cluster/src/StateLag.h
@@ -27,18 +27,20 @@
 
   /** Another host has the change \a aAnnounced; this one has all changes up to
    * \a aOwn. */
-  void OnAnnounced(base::TimePoint aNow, membership::StateRevision aAnnounced,
-                   membership::StateRevision aOwn);
+  void OnAnnounced(base::TimePoint aNow,
+                   const membership::StatePosition& aAnnounced,
+                   const membership::StatePosition& aOwn);
   /** \returns whether the copy, with all changes up to \a aOwn, has missed an
    * announced change. */
-  bool IsBehind(base::TimePoint aNow, membership::StateRevision aOwn) const;
+  bool IsBehind(base::TimePoint aNow,
+                const membership::StatePosition& aOwn) const;
   /** The copy is being read anew. */
   void Reset() { mAwaited.reset(); }
 
 private:
   /** The first announced change that the copy didn't have. Later ones don't
    * replace it, so that a series of changes can't hide that it is missing. */
-  std::optional<membership::StateRevision> mAwaited;
+  std::optional<membership::StatePosition> mAwaited;
   base::TimePoint mAwaitedSince;
   base::Duration mMaxLag;
 };
--- a/packages/cluster/test/StateLagTest.cpp
+++ b/packages/cluster/test/StateLagTest.cpp
@@ -4,27 +4,38 @@
 
 using namespace auburnmux;
 using cluster::StateLag;
+using membership::StateEra;
+using membership::StatePosition;
 using membership::StateRevision;
 using std::chrono::milliseconds;
 
+namespace {
+
+constexpr StatePosition At(std::uint64_t aRevision, std::uint64_t aEra = 0)
+{
+  return { StateEra(aEra), StateRevision(aRevision) };
+}
+
+} // namespace
+
 TEST_GROUP(StateLag)
 {
-  static constexpr StateRevision kOwn{ 10 };
+  static constexpr StatePosition kOwn = At(10);
   StateLag mLag{ milliseconds(800) };
   base::TimePoint mStart{ std::chrono::seconds(100) };
 };
 
 TEST(StateLag, CopyThatMissesAnAnnouncedChangeIsBehind)
 {
-  mLag.OnAnnounced(mStart, StateRevision(11), kOwn);
+  mLag.OnAnnounced(mStart, At(11), kOwn);
   CHECK_FALSE(mLag.IsBehind(mStart + milliseconds(500), kOwn));
   CHECK_TRUE(mLag.IsBehind(mStart + milliseconds(1000), kOwn));
 }
 
 TEST(StateLag, CopyThatReceivesTheChangeIsNot)
 {
-  mLag.OnAnnounced(mStart, StateRevision(11), kOwn);
-  CHECK_FALSE(mLag.IsBehind(mStart + milliseconds(1000), StateRevision(11)));
+  mLag.OnAnnounced(mStart, At(11), kOwn);
+  CHECK_FALSE(mLag.IsBehind(mStart + milliseconds(1000), At(11)));
 }
 
 // Guards against a series of announcements that postpones the decision.
@@ -32,7 +43,7 @@
 {
   for (int i = 0; i < 10; ++i) {
     mLag.OnAnnounced(mStart + i * milliseconds(100),
-                     StateRevision(11 + static_cast<std::uint64_t>(i)), kOwn);
+                     At(11 + static_cast<std::uint64_t>(i)), kOwn);
   }
   CHECK_TRUE(mLag.IsBehind(mStart + milliseconds(1000), kOwn));
 }
@@ -42,8 +53,8 @@
   std::uint64_t own = 10;
   for (int i = 0; i < 100; ++i, ++own) {
     const base::TimePoint now = mStart + i * milliseconds(200);
-    mLag.OnAnnounced(now, StateRevision(own + 2), StateRevision(own));
-    CHECK_FALSE(mLag.IsBehind(now, StateRevision(own)));
+    mLag.OnAnnounced(now, At(own + 2), At(own));
+    CHECK_FALSE(mLag.IsBehind(now, At(own)));
   }
 }
 
@@ -52,3 +63,14 @@
   mLag.OnAnnounced(mStart, kOwn, kOwn);
   CHECK_FALSE(mLag.IsBehind(mStart + milliseconds(5000), kOwn));
 }
+
+// Guards against taking the revisions of an earlier era for changes that this
+// copy has missed, and against a copy that stays in an earlier era.
+TEST(StateLag, PositionsAreComparedByEraFirst)
+{
+  mLag.OnAnnounced(mStart, At(90, 1), At(10, 2));
+  CHECK_FALSE(mLag.IsBehind(mStart + milliseconds(5000), At(10, 2)));
+  mLag.OnAnnounced(mStart, At(5, 3), At(10, 2));
+  CHECK_TRUE(mLag.IsBehind(mStart + milliseconds(1000), At(99, 2)));
+  CHECK_FALSE(mLag.IsBehind(mStart + milliseconds(1000), At(5, 3)));
+}
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -447,13 +447,13 @@
   mImpl->mFront.CloseAfterResponses();
 }
 
-void EntryNode::AnnounceState(membership::StateRevisions aRevisions)
+void EntryNode::AnnounceState(membership::StateSummary aState)
 {
-  mImpl->mCluster.SetStateRevisions(std::move(aRevisions));
+  mImpl->mCluster.SetState(std::move(aState));
 }
 
 void EntryNode::ObserveAnnouncedState(
-  std::function<void(const membership::StateRevisions&)> aObserver)
+  std::function<void(const membership::StateSummary&)> aObserver)
 {
   mImpl->mCluster.ObserveState(std::move(aObserver));
 }
--- a/packages/entry/src/EntryNode.h
+++ b/packages/entry/src/EntryNode.h
@@ -49,11 +49,11 @@
   void Stop(std::function<void()> aDone);
   /** Announces to other hosts which changes of the platform's state this host
    * has. */
-  void AnnounceState(membership::StateRevisions aRevisions);
+  void AnnounceState(membership::StateSummary aState);
   /** Calls \a aObserver when another host announces changes that this host
    * hasn't announced. */
   void ObserveAnnouncedState(
-    std::function<void(const membership::StateRevisions&)> aObserver);
+    std::function<void(const membership::StateSummary&)> aObserver);
   /** Applies those changed settings that may change at run time. */
   void Reload(const EntrySettings& aSettings);
 
--- a/packages/membership/src/Actions.h
+++ b/packages/membership/src/Actions.h
@@ -43,7 +43,7 @@
 struct StateAnnounced
 {
   HostIdentity mHost;
-  StateRevisions mRevisions;
+  StateSummary mState;
 };
 
 using Action = std::variant<SendHeartbeat, SendHeartbeatAck, HostChanged,
--- a/packages/membership/src/Host.h
+++ b/packages/membership/src/Host.h
@@ -3,6 +3,7 @@
 #include "base/Base.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -96,6 +97,42 @@
  * for a host that doesn't read it. */
 using StateRevisions = std::vector<StateRevision>;
 
+/** Era of the platform's state, which is incremented each time the platform
+ * came back from an older copy; 0 while it reports none. Revisions are issued
+ * again in a new era. */
+using StateEra = base::Quantity<struct StateEraTag>;
+
+/** A point in the history of the platform's state. */
+struct StatePosition
+{
+  StateEra mEra;
+  StateRevision mRevision;
+
+  friend bool operator==(const StatePosition& aLeft,
+                         const StatePosition& aRight)
+  {
+    return aLeft.mEra == aRight.mEra && aLeft.mRevision == aRight.mRevision;
+  }
+  friend bool operator<(const StatePosition& aLeft, const StatePosition& aRight)
+  {
+    return aLeft.mEra != aRight.mEra ? aLeft.mEra < aRight.mEra
+                                     : aLeft.mRevision < aRight.mRevision;
+  }
+  friend bool operator<=(const StatePosition& aLeft,
+                         const StatePosition& aRight)
+  {
+    return !(aRight < aLeft);
+  }
+};
+
+/** The changes of the platform's state that a host has. */
+struct StateSummary
+{
+  StateRevisions mRevisions;
+  /** Unset for hosts of versions that don't know eras. */
+  std::optional<StateEra> mEra;
+};
+
 /** Maximum number of parts of the state in a message. */
 constexpr std::size_t kMaxStateParts = 8;
 
@@ -108,7 +145,7 @@
   /** Configuration version in force at the sender. */
   base::ConfigVersion mConfigVersion;
   std::vector<HostUpdate> mUpdates;
-  StateRevisions mStateRevisions;
+  StateSummary mState;
 };
 
 /** An entry of the platform's list of hosts, which may be out of date. */
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -10,11 +10,16 @@
 
 namespace {
 
-/** \returns whether a part of \a aRevisions is newer than that of \a aKnown. */
-bool HasNewer(const StateRevisions& aRevisions, const StateRevisions& aKnown)
+/** \returns whether a part of \a aState is newer than that of \a aKnown. */
+bool HasNewer(const StateSummary& aState, const StateSummary& aKnown)
 {
-  for (std::size_t i = 0; i < aRevisions.size(); ++i) {
-    if (i >= aKnown.size() || aRevisions[i] > aKnown[i]) {
+  const StateEra known = aKnown.mEra.value_or(StateEra(0));
+  if (aState.mEra && *aState.mEra != known) {
+    return *aState.mEra > known;
+  }
+  const StateRevisions& revisions = aState.mRevisions;
+  for (std::size_t i = 0; i < revisions.size(); ++i) {
+    if (i >= aKnown.mRevisions.size() || revisions[i] > aKnown.mRevisions[i]) {
       return true;
     }
   }
@@ -122,10 +127,10 @@
   return actions;
 }
 
-void Membership::SetStateRevisions(StateRevisions aRevisions)
+void Membership::SetState(StateSummary aState)
 {
-  assert(aRevisions.size() <= kMaxStateParts);
-  mStateRevisions = std::move(aRevisions);
+  assert(aState.mRevisions.size() <= kMaxStateParts);
+  mState = std::move(aState);
 }
 
 std::vector<HostView> Membership::View() const
@@ -163,9 +168,9 @@
     aActions.push_back(
       ConfigAnnounced{ aPayload.mSender.mHost, aPayload.mConfigVersion });
   }
-  if (HasNewer(aPayload.mStateRevisions, mStateRevisions)) {
+  if (HasNewer(aPayload.mState, mState)) {
     aActions.push_back(
-      StateAnnounced{ aPayload.mSender.mHost, aPayload.mStateRevisions });
+      StateAnnounced{ aPayload.mSender.mHost, aPayload.mState });
   }
   return true;
 }
@@ -307,7 +312,7 @@
 
 HeartbeatPayload Membership::MakePayload(HeartbeatNumber aNumber) const
 {
-  return { mView.Self(), aNumber, mConfigVersion, {}, mStateRevisions };
+  return { mView.Self(), aNumber, mConfigVersion, {}, mState };
 }
 
 HeartbeatNumber Membership::NextNumber()
--- a/packages/membership/src/Membership.h
+++ b/packages/membership/src/Membership.h
@@ -46,9 +46,9 @@
   Actions StartLeaving(base::TimePoint aNow);
   /** Announces the configuration version now in force at this host. */
   Actions SetConfigVersion(base::TimePoint aNow, base::ConfigVersion aVersion);
-  /** Sets the revisions that the heartbeats of this host announce, at most
-   * kMaxStateParts. */
-  void SetStateRevisions(StateRevisions aRevisions);
+  /** Sets the changes that the heartbeats of this host announce, of at most
+   * kMaxStateParts parts. */
+  void SetState(StateSummary aState);
 
   /** \returns all known hosts in id order, this host included. */
   std::vector<HostView> View() const;
@@ -92,7 +92,7 @@
   ContactSelector mContactSelector;
   TableTransfers mTransfers;
   base::ConfigVersion mConfigVersion;
-  StateRevisions mStateRevisions;
+  StateSummary mState;
   HeartbeatNumber mLastNumber;
   base::TimePoint mLastTick;
   base::TimePoint mNextHeartbeat;
--- a/packages/membership/test/MembershipTest.cpp
+++ b/packages/membership/test/MembershipTest.cpp
@@ -206,15 +206,15 @@
 TEST(Membership, ChangesOfTheStateAreAnnouncedWithHeartbeats)
 {
   Fleet fleet = RunningFleet(8);
-  fleet.mNodes[0].mMembership->SetStateRevisions(
-    { StateRevision(3), StateRevision(9) });
+  fleet.mNodes[0].mMembership->SetState(
+    { { StateRevision(3), StateRevision(9) }, {} });
   fleet.Run(2s);
   const auto hasSeen = [](const auto& aNode) {
     return std::any_of(
       aNode.mChanges.begin(), aNode.mChanges.end(), [](const Action& aIt) {
         const auto* seen = std::get_if<StateAnnounced>(&aIt);
-        return seen != nullptr && seen->mRevisions.size() == 2 &&
-               seen->mRevisions[1] == StateRevision(9);
+        return seen != nullptr && seen->mState.mRevisions.size() == 2 &&
+               seen->mState.mRevisions[1] == StateRevision(9);
       });
   };
   CHECK_TRUE(
@@ -222,6 +222,39 @@
   CHECK_FALSE(hasSeen(fleet.mNodes[0]));
 }
 
+// Guards against comparing revisions of two eras: after the platform came back
+// from an older copy it issues them again.
+TEST(Membership, AnnouncedStateIsComparedByEraFirst)
+{
+  const auto isAnnounced = [](std::optional<StateEra> aOwn,
+                              std::optional<StateEra> aOther,
+                              std::uint64_t aOtherRevision) {
+    Fleet fleet = RunningFleet(2);
+    Membership& host = *fleet.mNodes[0].mMembership;
+    host.SetState({ { StateRevision(5) }, aOwn });
+    HeartbeatPayload payload{
+      { fleet.mNodes[1].mIdentity, {}, HostState::Alive, {} },
+      HeartbeatNumber(1),
+      {},
+      {},
+      { { StateRevision(aOtherRevision) }, aOther }
+    };
+    const Actions actions = host.OnHeartbeat(fleet.mNow, payload);
+    return std::any_of(actions.begin(), actions.end(), [](const Action& aIt) {
+      return std::holds_alternative<StateAnnounced>(aIt);
+    });
+  };
+  CHECK_TRUE(isAnnounced(StateEra(2), StateEra(3), 1));
+  CHECK_FALSE(isAnnounced(StateEra(2), StateEra(1), 9));
+  CHECK_TRUE(isAnnounced(StateEra(2), StateEra(2), 6));
+  CHECK_FALSE(isAnnounced(StateEra(2), StateEra(2), 5));
+  CHECK_TRUE(isAnnounced({}, StateEra(1), 1));
+  // Hosts of versions that don't know eras name none.
+  CHECK_TRUE(isAnnounced(StateEra(2), {}, 6));
+  CHECK_TRUE(isAnnounced({}, {}, 6));
+  CHECK_FALSE(isAnnounced({}, {}, 5));
+}
+
 // Guards against unbounded growth from updates about hosts that don't exist.
 TEST(Membership, ClaimsAboutUnknownHostsAreBounded)
 {
