Follow a store that came back from an older copy

Cause: after a 410 a kind was listed again, but the list was dropped if its revision was lower than that of the copy, and the next watch got a 410 again. Copies, announcements and mirrors compared revisions of before and after. Processes removed before the rollback don't return with the same incarnation.

--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -537,4 +537,9 @@
   mImpl->mUpstreamBook.OnSourceBack(mImpl->mLoop.Now());
 }
 
+void EntryNode::OnUpstreamsRolledBack()
+{
+  mImpl->mUpstreamBook.OnSourceRolledBack(mImpl->mLoop.Now());
+}
+
 } // namespace auburnmux::entry
--- a/packages/entry/src/EntryNode.h
+++ b/packages/entry/src/EntryNode.h
@@ -67,6 +67,7 @@
   void OnConfigurationConfirmed() override;
   void OnStoreLost() override;
   void OnStoreBack() override;
+  void OnUpstreamsRolledBack() override;
 
 private:
   struct Impl;
--- a/packages/entry/src/StateSink.h
+++ b/packages/entry/src/StateSink.h
@@ -35,6 +35,9 @@
   /** The store has stopped answering this host. */
   virtual void OnStoreLost() = 0;
   virtual void OnStoreBack() = 0;
+  /** The list of upstreams that follows is of an older copy from which the
+   * store came back. */
+  virtual void OnUpstreamsRolledBack() = 0;
 };
 
 } // namespace auburnmux::entry
--- a/packages/upstreams/src/UpstreamBook.cpp
+++ b/packages/upstreams/src/UpstreamBook.cpp
@@ -16,12 +16,19 @@
                                     ListSource aSource)
 {
   UpstreamEvents events;
+  const bool hasGraceEnded =
+    mRolledBackAt && aNow - *mRolledBackAt >= mSettings.mLapseGrace;
+  if (hasGraceEnded || aSource == ListSource::SettledElsewhere) {
+    mIsRolledBack = false;
+  }
   const bool isSettled =
     IsSettled(aNow) || aSource == ListSource::SettledElsewhere;
   std::set<base::UpstreamId> listed;
   for (const UpstreamRecord& it : aRecords) {
-    listed.insert(it.mId);
-    Take(aNow, it, events);
+    if (!IsOfRemovedProcess(it)) {
+      listed.insert(it.mId);
+      Take(aNow, it, events);
+    }
   }
   for (auto it = mEntries.begin(); it != mEntries.end();) {
     const auto entry = it++;
@@ -36,7 +43,9 @@
                                       const UpstreamRecord& aRecord)
 {
   UpstreamEvents events;
-  Take(aNow, aRecord, events);
+  if (!IsOfRemovedProcess(aRecord)) {
+    Take(aNow, aRecord, events);
+  }
   return events;
 }
 
@@ -54,10 +63,11 @@
 UpstreamEvents UpstreamBook::OnLeavingAnnounced(base::TimePoint aSentAt,
                                                 const base::UpstreamId& aId)
 {
-  const auto removed = mRemoved.find(aId);
-  if (removed != mRemoved.end() &&
-      removed->second.mEntry.mFirstSeen <= aSentAt) {
-    removed->second.mEntry.mRecord.mIsLeaving = true;
+  for (auto it = mRemoved.lower_bound({ aId, std::nullopt });
+       it != mRemoved.end() && it->first.first == aId; ++it) {
+    if (it->second.mEntry.mFirstSeen <= aSentAt) {
+      it->second.mEntry.mRecord.mIsLeaving = true;
+    }
   }
   const auto entry = mEntries.find(aId);
   if (entry == mEntries.end() || entry->second.mFirstSeen > aSentAt ||
@@ -80,6 +90,12 @@
   }
 }
 
+void UpstreamBook::OnSourceRolledBack(base::TimePoint aNow)
+{
+  mRolledBackAt = aNow;
+  mIsRolledBack = true;
+}
+
 UpstreamEvents UpstreamBook::OnTick(base::TimePoint aNow)
 {
   UpstreamEvents events;
@@ -100,9 +116,25 @@
   return events;
 }
 
+UpstreamBook::ProcessId UpstreamBook::ProcessOf(const UpstreamRecord& aRecord)
+{
+  return { aRecord.mId, aRecord.mIncarnation };
+}
+
+bool UpstreamBook::IsOfRemovedProcess(const UpstreamRecord& aRecord) const
+{
+  if (!mRolledBackAt || !aRecord.mIncarnation) {
+    return false;
+  }
+  const auto removed = mRemoved.find(ProcessOf(aRecord));
+  return removed != mRemoved.end() &&
+         removed->second.mRemovedAt < *mRolledBackAt &&
+         IsSameProcess(removed->second.mEntry.mRecord, aRecord);
+}
+
 bool UpstreamBook::IsSettled(base::TimePoint aNow) const
 {
-  return !mIsSourceLost &&
+  return !mIsSourceLost && !mIsRolledBack &&
          (!mBackAt || aNow - *mBackAt >= mSettings.mLapseGrace);
 }
 
@@ -140,7 +172,7 @@
 {
   DropOthersAt(aNow, aRecord, aEvents);
   Entry entry{ aRecord, aNow };
-  const auto removed = mRemoved.find(aRecord.mId);
+  const auto removed = mRemoved.find(ProcessOf(aRecord));
   if (removed != mRemoved.end() &&
       IsSameProcess(removed->second.mEntry.mRecord, aRecord)) {
     entry.mFirstSeen = removed->second.mEntry.mFirstSeen;
@@ -184,7 +216,8 @@
                          UpstreamEvents& aEvents)
 {
   aEvents.push_back(UpstreamGone{ aEntry->first });
-  mRemoved[aEntry->first] = { std::move(aEntry->second), aNow };
+  const ProcessId process = ProcessOf(aEntry->second.mRecord);
+  mRemoved[process] = { std::move(aEntry->second), aNow };
   mEntries.erase(aEntry);
 }
 
--- a/packages/upstreams/src/UpstreamBook.h
+++ b/packages/upstreams/src/UpstreamBook.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace auburnmux::upstreams {
@@ -60,6 +61,13 @@
   /** The source doesn't answer; entries may lapse without being removed. */
   void OnSourceLost(base::TimePoint aNow);
   void OnSourceBack(base::TimePoint aNow);
+  /**
+   * The source came back from an older copy. Upstreams missing from its lists
+   * are still used until a list is received after the grace period, in which
+   * they announce themselves again. Processes that were removed before don't
+   * return, unless the source doesn't report incarnations.
+   */
+  void OnSourceRolledBack(base::TimePoint aNow);
   /** Removes lapsed entries after the grace period. To be called several times
    * a second. */
   UpstreamEvents OnTick(base::TimePoint aNow);
@@ -80,7 +88,15 @@
     base::TimePoint mRemovedAt;
   };
 
+  /** One process of an upstream. */
+  using ProcessId =
+    std::pair<base::UpstreamId, std::optional<base::Incarnation>>;
+
+  static ProcessId ProcessOf(const UpstreamRecord& aRecord);
   bool IsSettled(base::TimePoint aNow) const;
+  /** \returns whether the entry is that of a process which was removed before
+   * the source came back from an older copy. */
+  bool IsOfRemovedProcess(const UpstreamRecord& aRecord) const;
   void Take(base::TimePoint aNow, const UpstreamRecord& aRecord,
             UpstreamEvents& aEvents);
   void Add(base::TimePoint aNow, const UpstreamRecord& aRecord,
@@ -95,9 +111,12 @@
 
   BookSettings mSettings;
   Entries mEntries;
-  std::map<base::UpstreamId, RemovedEntry> mRemoved;
+  std::map<ProcessId, RemovedEntry> mRemoved;
   bool mIsSourceLost = false;
   std::optional<base::TimePoint> mBackAt;
+  std::optional<base::TimePoint> mRolledBackAt;
+  /** Whether entries of an older copy have not been written again yet. */
+  bool mIsRolledBack = false;
 };
 
 } // namespace auburnmux::upstreams
--- a/packages/upstreams/test/UpstreamBookTest.cpp
+++ b/packages/upstreams/test/UpstreamBookTest.cpp
@@ -26,6 +26,13 @@
   return record;
 }
 
+UpstreamRecord Process(const char* aId, int aPort, std::uint64_t aBorn)
+{
+  UpstreamRecord record = MakeRecord(aId, aPort);
+  record.mIncarnation = base::Incarnation(aBorn);
+  return record;
+}
+
 /** Tracks the upstreams to which requests may be sent, from the events. */
 struct Follower
 {
@@ -291,3 +298,62 @@
   List(300, { next });
   CHECK_TRUE(IsUsable("a"));
 }
+
+// Guards against upstreams that are dropped because they registered in the
+// seconds that the source lost.
+TEST(UpstreamBook, EntryLostInARollbackIsKeptUntilAListAfterTheGrace)
+{
+  List(0, { Process("a", 1, 1), Process("b", 2, 1), Process("c", 3, 1) });
+  mBook.OnSourceRolledBack(At(1000));
+  List(1000, { Process("a", 1, 1) });
+  CHECK_TRUE(IsUsable("b"));
+  mFollower.Take(mBook.OnRecord(At(2500), Process("b", 2, 1)));
+  Tick(3500);
+  CHECK_TRUE(IsUsable("c"));
+  List(3500, { Process("a", 1, 1), Process("b", 2, 1) });
+  CHECK_TRUE(IsUsable("a"));
+  CHECK_TRUE(IsUsable("b"));
+  CHECK_FALSE(IsUsable("c"));
+}
+
+TEST(UpstreamBook, ListOfASettledHostEndsTheGraceOfARollback)
+{
+  List(0, { Process("a", 1, 1), Process("b", 2, 1) });
+  mBook.OnSourceRolledBack(At(1000));
+  List(1000, {});
+  mFollower.Take(mBook.OnList(At(1500), { Process("a", 1, 1) },
+                              ListSource::SettledElsewhere));
+  CHECK_TRUE(IsUsable("a"));
+  CHECK_FALSE(IsUsable("b"));
+}
+
+// Guards against requests to processes whose end the source has lost.
+TEST(UpstreamBook, RemovedAndReplacedProcessesDontReturnByARollback)
+{
+  List(0, { Process("a", 1, 1), Process("b", 2, 1) });
+  mFollower.Take(mBook.OnRemoved(At(100), base::UpstreamId("a")));
+  mFollower.Take(mBook.OnRecord(At(200), Process("b", 2, 2)));
+  mBook.OnSourceRolledBack(At(1000));
+  List(1000, { Process("a", 1, 1), Process("b", 2, 1) });
+  mFollower.Take(mBook.OnRecord(At(1100), Process("a", 1, 1)));
+  CHECK_FALSE(IsUsable("a"));
+  CHECK_TRUE(IsUsable("b"));
+  CHECK_EQUAL(1U, mBook.Size());
+  List(3100, { Process("a", 1, 3), Process("b", 2, 2) });
+  CHECK_TRUE(IsUsable("a"));
+  CHECK_TRUE(IsUsable("b"));
+}
+
+TEST(UpstreamBook, AnnouncedShutdownIsNotTakenBackByARollback)
+{
+  List(0, { Process("a", 1, 1), Process("b", 2, 1) });
+  Announce(100, "a");
+  UpstreamRecord leaving = Process("b", 2, 1);
+  leaving.mIsLeaving = true;
+  mFollower.Take(mBook.OnRecord(At(200), leaving));
+  mBook.OnSourceRolledBack(At(1000));
+  List(1000, { Process("a", 1, 1), Process("b", 2, 1) });
+  List(3100, { Process("a", 1, 1), Process("b", 2, 1) });
+  CHECK_FALSE(IsUsable("a"));
+  CHECK_FALSE(IsUsable("b"));
+}
