Customers: types Customer, Quota and CustomerTable, and a place for them

Cause: no type describes a customer, so neither keys nor quotas can be built on the configuration. Nothing fills or reads them yet.

--- /dev/null
+++ b/packages/customers/Customers.h
@@ -0,0 +1,5 @@
+#pragma once
+
+#include "customers/src/Customer.h"
+
+#include "customers/src/CustomerTable.h"
--- a/packages/routing/src/Configuration.h
+++ b/packages/routing/src/Configuration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Base.h"
+#include "customers/Customers.h"
 
 #include <map>
 #include <optional>
@@ -55,6 +56,8 @@
   bool mHasAffinity = false;
   /** Regions in which requests may be handled; empty allows all. */
   std::vector<base::RegionId> mAllowedRegions;
+  /** Whether requests need no key where customers are configured. */
+  bool mAllowsAnonymous = false;
 };
 
 /** Health check path and load limits of the upstreams of a service. */
@@ -78,13 +81,16 @@
   base::Duration mIdleTimeout = std::chrono::seconds(15);
 };
 
-/** Routes, service policies and request limits of one version. */
+/** Routes, service policies, request limits and customers of one version. */
 struct Configuration
 {
   base::ConfigVersion mVersion;
   std::vector<Route> mRoutes;
   std::map<base::ServiceId, ServicePolicy> mServices;
   RequestLimits mLimits;
+  /** None if the configuration has no table of customers: requests then need
+   * no key. An empty table means that nobody has one. */
+  std::optional<customers::CustomerTable> mCustomers;
 };
 
 } // namespace auburnmux::routing
