--- a/packages/carriage/src/RequestAction.h
+++ b/packages/carriage/src/RequestAction.h
@@ -14,6 +14,12 @@
   NoConfiguration,
   /** No route matches, but the configuration may be outdated. */
   OutdatedConfiguration,
+  /** No customer has the request's key. */
+  UnknownKey,
+  /** The key is unknown, but the configuration may be outdated. */
+  UnconfirmedKey,
+  /** The route and the customer have no allowed region in common. */
+  NoCommonRegion,
   NoCapacity,
   NoUpstream,
   NoBudget,
--- a/packages/carriage/src/RequestStateMachine.cpp
+++ b/packages/carriage/src/RequestStateMachine.cpp
@@ -20,6 +20,12 @@
       return "no_configuration";
     case Reason::OutdatedConfiguration:
       return "outdated_configuration";
+    case Reason::UnknownKey:
+      return "unknown_key";
+    case Reason::UnconfirmedKey:
+      return "unconfirmed_key";
+    case Reason::NoCommonRegion:
+      return "no_common_region";
     case Reason::NoCapacity:
       return "no_room";
     case Reason::NoUpstream:
--- a/packages/customers/src/Customer.h
+++ b/packages/customers/src/Customer.h
@@ -11,7 +11,7 @@
 /** Name of a customer. */
 using CustomerId = base::StrongId<struct CustomerIdTag>;
 /** Importance of a customer's requests; 0 is the highest. */
-using Rank = base::Quantity<struct RankTag, std::uint32_t>;
+using Rank = base::Quantity<struct CustomerRankTag, std::uint32_t>;
 
 /** Limit on a customer's requests over all hosts together. */
 struct Quota
