Customers: identify requests by their keys, end to end

Cause: requests reach upstreams with the client's key and without, or with a forged, customer's name; no key is refused; customers' regions aren't kept. The forwarder identifies each request before it runs, and again before each attempt if the version has changed. 401, or 503 while the key may only be unknown here; key and customer fields are replaced on attempts where customers are configured.

--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -31,6 +31,11 @@
 /** Interval at which the hosts that share cluster-wide limits are counted. */
 constexpr base::Duration kHostCountInterval = std::chrono::seconds(1);
 
+/** Interval at which a host that has a newer configuration is reported until
+ * this one has it, too. */
+constexpr base::Duration kVersionReportInterval =
+  std::chrono::milliseconds(500);
+
 http::ClientOptions UpstreamClientOptions(const EntrySettings& aSettings)
 {
   http::ClientOptions options;
@@ -84,6 +89,10 @@
   void OnMessage(const protocol::Envelope& aEnvelope);
   void OnLeavingAnnounced(const base::UpstreamId& aUpstream,
                           base::TimePoint aSentAt);
+  void OnVersionAnnounced(const http::Endpoint& aPeer,
+                          base::ConfigVersion aVersion);
+  /** Reports the host with a newer configuration while this one is behind. */
+  void ReportNewerVersion();
   void OnViewChanged();
   void UpdateHostCounts();
   /** \returns the hosts that may be sending to upstreams; one for each data
@@ -116,6 +125,10 @@
   base::TimePoint mConfigSince;
   std::optional<base::TimePoint> mStopStart;
   std::function<void()> mOnStopped;
+  /** The host that last announced a newer configuration than the own one. */
+  http::Endpoint mNewerVersionAt;
+  base::TimePoint mNextVersionReport;
+  std::function<void(const std::string&)> mNewerVersionObserver;
 };
 
 struct EntryNode::Impl::EventVisitor
@@ -198,7 +211,9 @@
       aLoop, mMetrics, base::Random(mRandom.Next()),
       MakeMembershipSettings(mSettings), mTransport,
       [this] { OnViewChanged(); },
-      [](const http::Endpoint& /*aPeer*/, base::ConfigVersion /*aVersion*/) {})
+      [this](const http::Endpoint& aPeer, base::ConfigVersion aVersion) {
+        OnVersionAnnounced(aPeer, aVersion);
+      })
   , mFront(aLoop, mSettings.mFront,
            [this](const std::shared_ptr<http::ServerExchange>& aExchange) {
              OnRequest(aExchange);
@@ -249,6 +264,33 @@
   }
 }
 
+void EntryNode::Impl::OnVersionAnnounced(const http::Endpoint& aPeer,
+                                         base::ConfigVersion aVersion)
+{
+  const base::ConfigVersion own = mServices.mRoutes.Version();
+  if (aVersion > own) {
+    mNewerVersionAt = aPeer;
+    mServices.mVersionLag.OnAnnounced(
+      mLoop.Now(), membership::StateRevision(aVersion.Count()),
+      membership::StateRevision(own.Count()));
+  }
+}
+
+void EntryNode::Impl::ReportNewerVersion()
+{
+  const base::TimePoint now = mLoop.Now();
+  if (!mServices.IsVersionBehind(now) || now < mNextVersionReport) {
+    return;
+  }
+  mNextVersionReport = now + kVersionReportInterval;
+  base::LogWarning(base::LogLine("config_behind")
+                     .With("version", mServices.mRoutes.Version())
+                     .With("newer_at", mNewerVersionAt.mAddress));
+  if (mNewerVersionObserver) {
+    mNewerVersionObserver(mNewerVersionAt.mAddress);
+  }
+}
+
 void EntryNode::Impl::OnViewChanged()
 {
   mActiveHosts.OnView(mLoop.Now(), mCluster.View());
@@ -333,6 +375,7 @@
   RecordLoopLateness();
   Apply(mUpstreamBook.OnTick(mLoop.Now()));
   mChecks.OnTick();
+  ReportNewerVersion();
   if (!mStopStart) {
     return;
   }
@@ -458,6 +501,12 @@
   mImpl->mCluster.ObserveState(std::move(aObserver));
 }
 
+void EntryNode::ObserveNewerConfiguration(
+  std::function<void(const std::string&)> aObserver)
+{
+  mImpl->mNewerVersionObserver = std::move(aObserver);
+}
+
 void EntryNode::Reload(const EntrySettings& aSettings)
 {
   mImpl->mSettings.mStopGrace = aSettings.mStopGrace;
@@ -477,15 +526,21 @@
   const routing::RequestLimits& limits = routes.Current().mLimits;
   mImpl->mFront.SetLimits({ limits.mMaxHead, limits.mMaxBody,
                             limits.mHeadTimeout, limits.mIdleTimeout });
-  base::LogInfo(
-    base::LogLine("config_in_force")
-      .With("version", version)
-      .With("routes", routes.Current().mRoutes.size())
-      .With("source", aSource == StateSource::Store ? "store" : "other_host"));
+  base::LogLine line("config_in_force");
+  line.With("version", version)
+    .With("routes", routes.Current().mRoutes.size())
+    .With("source", aSource == StateSource::Store ? "store" : "other_host");
+  if (const auto& customers = routes.Current().mCustomers) {
+    line.With("customers", customers->Size());
+  }
+  base::LogInfo(line);
   mImpl->mServices.mPlacement.SetColdRates(
     [&routes](const base::ServiceId& aService) {
       return routes.Policy(aService).mColdRate;
     });
+  if (routes.Current().mCustomers) {
+    mImpl->mCluster.SetConfigVersion(version);
+  }
   mImpl->JoinWhenReady();
 }
 
--- a/packages/entry/src/EntryNode.h
+++ b/packages/entry/src/EntryNode.h
@@ -54,6 +54,10 @@
    * hasn't announced. */
   void ObserveAnnouncedState(
     std::function<void(const membership::StateRevisions&)> aObserver);
+  /** Calls \a aObserver with the address of a host that has a newer
+   * configuration, while this host doesn't get it. */
+  void ObserveNewerConfiguration(
+    std::function<void(const std::string&)> aObserver);
   /** Applies those changed settings that may change at run time. */
   void Reload(const EntrySettings& aSettings);
 
--- a/packages/entry/src/RequestForwarder.cpp
+++ b/packages/entry/src/RequestForwarder.cpp
@@ -96,6 +96,10 @@
     RespondUnknownRoute();
     return;
   }
+  if (const auto refusal = Identify()) {
+    Refuse(*refusal, kOutdatedRetryAfter);
+    return;
+  }
   carriage::RequestRetryPolicy terms;
   terms.mMayRepeat = mRoute->mKind == routing::RequestKind::Idempotent;
   terms.mMaxAttempts = std::max(1U, mRoute->mMaxAttempts);
--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -13,8 +13,9 @@
 /**
  * Forwards one request: buffers its body, executes the actions of its
  * RequestStateMachine, and sends the response to the client. It lives until the
- * exchange with the client ends. The members are defined in four files:
+ * exchange with the client ends. The members are defined in five files:
  * - RequestForwarder.cpp: receiving the request
+ * - RequestForwarderCustomers.cpp: the customer that sent it
  * - RequestForwarderSelection.cpp: selecting an upstream
  * - RequestForwarderAttempts.cpp: the attempts at upstreams
  * - RequestForwarderResponses.cpp: responses to the client and log events
@@ -28,6 +29,10 @@
    * immediately. */
   static constexpr base::Duration kStoppingRetryAfter =
     std::chrono::milliseconds(50);
+  /** Retry-after of a request whose route or key this host may not know yet.
+   * Short, since another host may know it. */
+  static constexpr base::Duration kOutdatedRetryAfter =
+    std::chrono::milliseconds(300);
   /** Longest request body that is buffered, so that it can be sent again. */
   static constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{ 1 } << 20U;
   /** Unsent bytes to a slow receiver above which the sender is paused. */
@@ -66,6 +71,16 @@
   void Execute(const carriage::RequestActions& aActions);
   void Refuse(carriage::Reason aReason, base::Duration aRetryAfter);
   void RespondUnknownRoute();
+  void RespondUnknownKey();
+  /**
+   * Determines the sender of the request, and the regions that may handle it,
+   * by the current configuration.
+   * \returns why the request is to be refused, if it is
+   */
+  std::optional<carriage::Reason> Identify();
+  /** Same as Identify() if the configuration has changed since its last call:
+   * a key may have been withdrawn while the request waited. */
+  std::optional<carriage::Reason> IdentifyAgain();
   /** \returns whether this host is stopping and may exit before the request
    * ends. */
   bool IsCutOffByStop() const;
@@ -103,6 +118,10 @@
   std::shared_ptr<http::ServerExchange> mExchange;
   RequestFields mFields;
   std::shared_ptr<const routing::Route> mRoute;
+  /** None where no customers are configured. */
+  std::optional<Sender> mSender;
+  /** Version of the configuration that Identify() used. */
+  base::ConfigVersion mIdentifiedBy;
   placing::PlaceRequest mPlaceRequest;
   std::optional<carriage::RequestStateMachine> mStateMachine;
   std::optional<http::Loop::TimerId> mTimer;
--- a/packages/entry/src/RequestForwarderAttempts.cpp
+++ b/packages/entry/src/RequestForwarderAttempts.cpp
@@ -42,7 +42,7 @@
 {
   const base::TimePoint now = mServices.mLoop.Now();
   if (!mStateMachine->MayReplaceAttempt() || mAttempt->HasHead() ||
-      mServices.mCrashes.IsRefused(mFingerprint)) {
+      mServices.mCrashes.IsRefused(mFingerprint) || IdentifyAgain()) {
     return;
   }
   // The upstream of the straggler may be selected again, as it has the object
--- a/packages/entry/src/RequestForwarderResponses.cpp
+++ b/packages/entry/src/RequestForwarderResponses.cpp
@@ -8,10 +8,6 @@
 
 using carriage::Reason;
 
-/** Retry-after of a request whose route this host may not know yet. Short,
- * since another host may know it. */
-constexpr base::Duration kOutdatedRetryAfter = std::chrono::milliseconds(300);
-
 std::string FormatSeconds(base::Duration aTime)
 {
   char buf[32];
@@ -49,6 +45,10 @@
 {
   LeaveQueue();
   StopTimer();
+  if (aReason == Reason::UnknownKey) {
+    RespondUnknownKey();
+    return;
+  }
   LogEnd(carriage::ReasonName(aReason), 503);
   mIsAnswered = true;
   http::Headers headers;
@@ -60,7 +60,7 @@
 
 void RequestForwarder::RespondUnknownRoute()
 {
-  if (!mServices.mConfirmation.IsRecent(mServices.mLoop.Now())) {
+  if (!mServices.IsConfigurationCurrent(mServices.mLoop.Now())) {
     Refuse(Reason::OutdatedConfiguration, kOutdatedRetryAfter);
     return;
   }
@@ -69,6 +69,13 @@
   mExchange->Respond(404, {}, "");
 }
 
+void RequestForwarder::RespondUnknownKey()
+{
+  LogEnd(carriage::ReasonName(Reason::UnknownKey), 401);
+  mIsAnswered = true;
+  mExchange->Respond(401, {}, "");
+}
+
 void RequestForwarder::SendFailure(Reason aReason)
 {
   LeaveQueue();
@@ -109,7 +116,10 @@
     .With("ms", Milliseconds(mServices.mLoop.Now() - mArrived))
     .With("config", mServices.mRoutes.Version());
   const auto age = mServices.mConfirmation.Age(mServices.mLoop.Now());
-  if (!mRoute && age) {
+  const bool isDecidedByAge =
+    !mRoute || aOutcome == carriage::ReasonName(Reason::UnknownKey) ||
+    aOutcome == carriage::ReasonName(Reason::UnconfirmedKey);
+  if (isDecidedByAge && age) {
     line.With("config_confirmed_ms", Milliseconds(*age));
   }
   if (mRoute) {
@@ -117,6 +127,9 @@
       .With("service", mPlaceRequest.mService)
       .With("object", mFields.mObject.value_or(""));
   }
+  if (mSender && mSender->mCustomer) {
+    line.With("customer", mSender->mCustomer->mId);
+  }
   if (mStateMachine && mStateMachine->Attempts() > 0) {
     line.With("attempts", mStateMachine->Attempts())
       .With("upstream", mAttempt->Place().mUpstream)
--- a/packages/entry/src/RequestForwarderSelection.cpp
+++ b/packages/entry/src/RequestForwarderSelection.cpp
@@ -40,7 +40,6 @@
                                              kQuarantineRetryAfter));
     return;
   }
-  mPlaceRequest.mAllowedRegions = mRoute->mAllowedRegions;
   constexpr std::size_t kTypicalHeadAndResponse = 2000;
   mPlaceRequest.mBytes =
     base::ByteCount(mBody.Size() + kTypicalHeadAndResponse);
@@ -59,6 +58,11 @@
       mStateMachine->OnSelectionFailed(Reason::Stopping, kStoppingRetryAfter));
     return;
   }
+  if (const auto refusal = IdentifyAgain()) {
+    LeaveQueue();
+    Execute(mStateMachine->OnSelectionFailed(*refusal, kOutdatedRetryAfter));
+    return;
+  }
   const base::TimePoint now = mServices.mLoop.Now();
   mPlaceRequest.mTimeLeft = TimeLeft();
   const placing::PlaceDecision decision =
@@ -121,7 +125,8 @@
     head.mQuery.empty() ? head.mPath : head.mPath + '?' + head.mQuery;
   request.mHeaders = head.mHeaders;
   http::RemoveHopByHop(request.mHeaders);
-  mServices.mTranslator.WriteAttempt(request.mHeaders, TimeLeft(), aUpstream);
+  mServices.mTranslator.WriteAttempt(request.mHeaders, TimeLeft(), aUpstream,
+                                     mSender);
   if (head.mIsChunked && !mBody.IsStreamed()) {
     request.mContentLength = base::ByteCount(mBody.Size());
   } else {
--- a/packages/entry/src/Services.h
+++ b/packages/entry/src/Services.h
@@ -2,6 +2,7 @@
 
 #include "base/Base.h"
 #include "carriage/Carriage.h"
+#include "cluster/Cluster.h"
 #include "entry/src/CrashWatch.h"
 #include "entry/src/Dispatcher.h"
 #include "entry/src/EntrySettings.h"
@@ -39,6 +40,9 @@
   CrashWatch mCrashes{ mLoop, mClient, mMetrics, mEndpoints };
   retries::StragglerPolicy mStragglers{};
   routing::Confirmation mConfirmation{};
+  /** Whether another host has had a newer version for longer than versions take
+   * to spread. */
+  cluster::StateLag mVersionLag{ std::chrono::milliseconds(500) };
   /** Limits of the idle time of reused connections, by service. */
   std::unordered_map<base::ServiceId, retries::IdleReuseLimit>
     mIdleReuseLimits{};
@@ -56,6 +60,17 @@
   std::optional<base::TimePoint> mExitAt{};
   std::size_t mOpenRequests = 0;
 
+  /** \returns whether a route or a key that is missing in the configuration
+   * doesn't exist, as no newer version is likely to be in force elsewhere. */
+  bool IsConfigurationCurrent(base::TimePoint aNow) const
+  {
+    return mConfirmation.IsRecent(aNow) && !IsVersionBehind(aNow);
+  }
+  bool IsVersionBehind(base::TimePoint aNow) const
+  {
+    return mVersionLag.IsBehind(
+      aNow, membership::StateRevision(mRoutes.Version().Count()));
+  }
   /** \returns the retry budget of \a aService. */
   carriage::WindowedRetryBudget& RetryBudget(const base::ServiceId& aService)
   {
--- a/packages/entry/src/Translator.h
+++ b/packages/entry/src/Translator.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "base/Base.h"
+#include "customers/Customers.h"
 #include "http/Http.h"
 #include "placing/Placing.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -18,6 +20,15 @@
   std::optional<base::Duration> mTimeLeft;
   /** Key of the object that the request refers to, for affinity. */
   std::optional<std::string> mObject;
+  /** Key of the customer; none if the client sent none or several. */
+  std::optional<std::string> mKey;
+};
+
+/** Who sent a request, where customers are configured. */
+struct Sender
+{
+  /** Null for an anonymous request. */
+  std::shared_ptr<const customers::Customer> mCustomer;
 };
 
 /** What the header fields of an upstream state about its response. */
@@ -55,9 +66,14 @@
 public:
   virtual ~Translator() = default;
   virtual RequestFields ReadRequest(const http::RequestHead& aHead) const = 0;
-  /** Adds the fields that an upstream needs for an attempt. */
+  /**
+   * Adds the fields that an upstream needs for an attempt.
+   * \param aSender replaces what the client stated about itself. None where no
+   * customers are configured: the client's fields are then left unchanged.
+   */
   virtual void WriteAttempt(http::Headers& aHeaders, base::Duration aTimeLeft,
-                            const base::UpstreamId& aUpstream) const = 0;
+                            const base::UpstreamId& aUpstream,
+                            const std::optional<Sender>& aSender) const = 0;
   virtual ResponseFields ReadResponse(
     const http::ResponseHead& aHead) const = 0;
   /**
