--- a/packages/cluster/src/StateLag.h
+++ b/packages/cluster/src/StateLag.h
@@ -6,6 +6,13 @@
 
 namespace auburnmux::cluster {
 
+/** \returns the position of a configuration version. Versions only increase,
+ * so that they have no era. */
+inline membership::StatePosition VersionPosition(base::ConfigVersion aVersion)
+{
+  return { {}, membership::StateRevision(aVersion.Count()) };
+}
+
 /**
  * Tells from the announcements of other hosts whether this host's copy of a
  * part of the platform's state has missed a change.
