A response status below 100 or above 599 is malformed

Cause: every status below 200 counted as interim and was skipped, so a response with status 000 left its request waiting until the time limit. Change: the response parser rejects such a status; interim ones are 100 to 199. The request fails at once as "may have run". Tested: InvalidStatusTest failed before (the client got a timeout after 500 ms for 000, and 600 and 999 were not reached); passes now.

--- a/packages/http/src/MessageReader.cpp
+++ b/packages/http/src/MessageReader.cpp
@@ -30,6 +30,11 @@
  */
 constexpr std::size_t kLastChunkBytes = std::string_view("0\r\n\r\n").size();
 
+// Responses with another status are malformed. Those below the final ones are
+// interim responses.
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
+
 /** Stores the head of one message and passes its body to a BodySink. */
 template<bool IsRequest>
 class CollectingParser : public basic_parser<IsRequest>
@@ -118,9 +123,12 @@
     mTarget.assign(aTarget.data(), aTarget.size());
   }
   void on_response_impl(int aCode, beast::string_view /*aReason*/,
-                        int /*aVersion*/, ErrorCode& /*aError*/) override
+                        int /*aVersion*/, ErrorCode& aError) override
   {
     mStatus = aCode;
+    if (aCode < kMinStatus || aCode > kMaxStatus) {
+      aError = beast::http::error::bad_status;
+    }
   }
   void on_field_impl(beast::http::field /*aField*/, beast::string_view aName,
                      beast::string_view aValue, ErrorCode& /*aError*/) override
--- a/packages/http/src/MessageReader.h
+++ b/packages/http/src/MessageReader.h
@@ -61,7 +61,8 @@
   std::unique_ptr<Impl> mImpl;
 };
 
-/** Parses one response. Interim (1xx) responses are reported like others. */
+/** Parses one response. Interim (1xx) responses are reported like others; a
+ * status below 100 or above 599 is malformed. */
 class ResponseReader
 {
 public:
