A response without a length is complete only if the request was received

Cause: an upstream that dies without unread input closes its connection in order, and resets it only when more of an upload arrives. A response without a length that was cut so was delivered as complete. Change: the end of the connection completes such a response only if the whole request was sent and acknowledged. A rejection whose head has arrived stays "not run" when the rest is cut, as its upstream may close without reading the upload. Before, the client of the platform's path got status 200 with a part of the body, buffered and relayed; a reset before the end (without a close) was already reported as a failure.

--- a/packages/entry/src/Attempt.cpp
+++ b/packages/entry/src/Attempt.cpp
@@ -125,7 +125,10 @@
 
 void Attempt::OnFailure(const http::Failure& aFailure)
 {
-  if (const auto observer = std::exchange(mObserver, {}).lock()) {
+  const auto observer = std::exchange(mObserver, {}).lock();
+  if (observer && IsRejection()) {
+    observer->OnAttemptResponse(); // the head alone states it
+  } else if (observer) {
     observer->OnAttemptFailed(aFailure);
   }
 }
--- a/packages/http/src/HttpClientConnection.cpp
+++ b/packages/http/src/HttpClientConnection.cpp
@@ -350,7 +350,8 @@
     Close();
     return;
   }
-  if (mHasHead && !mIsForeign && mReader->EndsWithConnection() &&
+  if (mHasHead && !mIsForeign && IsRequestReceived() &&
+      mReader->EndsWithConnection() &&
       mReader->ReadEnd() == ReadState::Complete) {
     const auto exchange = Close();
     exchange->HandleEnd();
@@ -359,6 +360,11 @@
   Fail(mHasHead && !mIsForeign ? FailureKind::Truncated : FailureKind::Reset);
 }
 
+bool HttpClientConnection::IsRequestReceived() const
+{
+  return mExchange->IsRequestComplete() && mStream.UnacknowledgedBytes() == 0;
+}
+
 void HttpClientConnection::CompleteResponse()
 {
   if (IsSkipping()) {
--- a/packages/http/src/HttpClientConnection.h
+++ b/packages/http/src/HttpClientConnection.h
@@ -131,6 +131,12 @@
   void BeginResponse();
   void HandleHead();
   void HandleEnd();
+  /**
+   * \returns whether the peer's kernel has the whole request. A connection that
+   * is closed before may have been cut: a process that dies without unread
+   * input closes in order, and a reset follows only when more input arrives.
+   */
+  bool IsRequestReceived() const;
   /** \returns whether the current response is interim (1xx) or belongs to
    * another request, and is therefore discarded. */
   bool IsSkipping() const { return mIsInterim || mIsForeign; }
--- a/packages/http/test/support/LoopbackSocket.h
+++ b/packages/http/test/support/LoopbackSocket.h
@@ -58,6 +58,8 @@
   {
     return LoopbackSocket(accept(mDescriptor, nullptr, nullptr));
   }
+  /** Ends a call of Accept() in another thread. */
+  void StopAccepting() const { shutdown(mDescriptor, SHUT_RD); }
   /** \returns whether all bytes were written to the socket. */
   bool Send(const std::string& aBytes) const
   {
@@ -76,6 +78,8 @@
     }
     return { received, n == 0 };
   }
+  /** Closes the sending side of the connection (half-close). */
+  void ShutdownSending() const { shutdown(mDescriptor, SHUT_WR); }
   /** Closes the connection by a reset, also if all data was read. */
   void Reset()
   {
