--- a/packages/cluster/Cluster.h
+++ b/packages/cluster/Cluster.h
@@ -4,6 +4,8 @@
 
 #include "cluster/src/CrashReportCodec.h"
 
+#include "cluster/src/QuotaCodec.h"
+
 #include "cluster/src/JoinedHosts.h"
 
 #include "cluster/src/StateLag.h"
--- a/packages/quotas/src/Actions.h
+++ b/packages/quotas/src/Actions.h
@@ -29,10 +29,19 @@
   WaiterId mWaiter;
 };
 
-/** The customer is over its quota. */
+/** Why a request doesn't get a token. */
+enum class RefusalReason
+{
+  OverQuota,
+  /** There was no answer in time. */
+  NoAnswer
+};
+
+/** The request may not run now. */
 struct Refused
 {
   base::Duration mRetryAfter{};
+  RefusalReason mReason = RefusalReason::OverQuota;
 };
 
 using Decision = std::variant<Taken, Waiting, Refused>;
@@ -62,7 +71,7 @@
 struct Refuse
 {
   WaiterId mWaiter;
-  base::Duration mRetryAfter{};
+  Refused mRefusal;
 };
 
 /** This host asks another host than before. */
--- a/packages/quotas/src/Leaf.cpp
+++ b/packages/quotas/src/Leaf.cpp
@@ -46,7 +46,7 @@
     return Refused{ customer.mDeniedUntil - aNow };
   }
   if (mWaiters.size() >= kMaxWaiters) {
-    return Refused{ kUnknownRetry };
+    return Refused{ kUnknownRetry, RefusalReason::NoAnswer };
   }
   CheckStock(aNow, customer);
   const WaiterId id(++mLastWaiter);
@@ -107,7 +107,7 @@
   auto& waiters = aCustomer.mWaiters;
   while (!waiters.empty() && waiters.front().mReportedBy &&
          *waiters.front().mReportedBy <= aAnswered) {
-    aOut.emplace_back(Refuse{ waiters.front().mId, aRetryAfter });
+    aOut.emplace_back(Refuse{ waiters.front().mId, { aRetryAfter } });
     mWaiters.erase(waiters.front().mId);
     waiters.pop_front();
   }
@@ -151,7 +151,8 @@
     }
     auto& waiters = it->second.mWaiters;
     while (!waiters.empty() && waiters.front().mDeadline <= aNow) {
-      aOut.emplace_back(Refuse{ waiters.front().mId, kUnknownRetry });
+      aOut.emplace_back(Refuse{ waiters.front().mId,
+                                { kUnknownRetry, RefusalReason::NoAnswer } });
       mWaiters.erase(waiters.front().mId);
       waiters.pop_front();
     }
--- a/packages/quotas/test/QuotasTest.cpp
+++ b/packages/quotas/test/QuotasTest.cpp
@@ -4,6 +4,7 @@
 #include "quotas/test/support/Network.h"
 
 #include <numeric>
+#include <random>
 
 using namespace auburnmux;
 using namespace auburnmux::quotas;
@@ -86,8 +87,30 @@
 
 const std::vector<Quota> kQuotas{ { 1, 1 },
                                   { 20, 4 },
-                                  { 200, 200 },
-                                  { 600, 6 } };
+                                  { 100, 300 },
+                                  { 400, 4 } };
+
+/** Lets requests arrive in waves, so that bursts are saved and used. */
+void DemandInWaves(Network& aNetwork, base::Random& aRandom,
+                   CustomerHash aCustomer, const Quota& aQuota, TimePoint aEnd)
+{
+  std::vector<std::size_t> hosts = AllHosts(aNetwork);
+  std::shuffle(hosts.begin(), hosts.end(), std::mt19937(aRandom.Next()));
+  if (aRandom.Below(2) == 0) {
+    hosts.resize(1 + aRandom.Below(hosts.size()));
+  }
+  const bool isSteady = aRandom.Below(2) == 0;
+  TimePoint from = aNetwork.Now();
+  while (from < aEnd) {
+    const TimePoint to = from + milliseconds(500 + aRandom.Below(5000));
+    const double rate = (aQuota.mRate + aQuota.mBurst / 5) *
+                        (!isSteady && aRandom.Below(3) == 0 ? 0.1 : 3.0);
+    aNetwork.At(from, [=, &aNetwork] {
+      aNetwork.Demand(aCustomer, rate, hosts, std::min(to, aEnd));
+    });
+    from = to;
+  }
+}
 
 } // namespace
 
@@ -101,7 +124,7 @@
     base::Random random(aSeed);
     NetworkOptions options;
     options.mCentres = 1 + random.Below(6);
-    options.mHosts = options.mCentres + random.Below(options.mCentres * 6);
+    options.mHosts = options.mCentres + random.Below(50);
     options.mLoss = random.Below(2) == 0 ? 0.0 : 0.05;
     options.mLate = random.Below(2) == 0 ? 0.0 : 0.05;
     options.mIsUseDelayed = random.Below(2) == 0;
@@ -113,16 +136,14 @@
       periods[i].push_back({ kQuotas[i], network.Now() });
     }
     network.SetQuotas(quotas, Duration());
-    const TimePoint end = network.Now() + seconds(24);
+    const TimePoint end = network.Now() + seconds(20);
     for (std::size_t i = 0; i < kQuotas.size(); ++i) {
-      std::vector<std::size_t> hosts = AllHosts(network);
-      hosts.resize(1 + random.Below(hosts.size()));
-      network.Demand(CustomerHash(i),
-                     kQuotas[i].mRate * (0.5 + 2 * random.Fraction()), hosts,
-                     end);
+      DemandInWaves(network, random, CustomerHash(i), kQuotas[i], end);
     }
+    network.RunFor(milliseconds(random.Below(7000)));
+    const std::size_t meanGap = 300 + random.Below(8000);
     while (network.Now() < end) {
-      network.RunFor(milliseconds(random.Below(3000)));
+      network.RunFor(milliseconds(random.Below(2 * meanGap)));
       const std::size_t host = random.Below(network.Size());
       switch (random.Below(9)) {
         case 0: {
@@ -138,9 +159,14 @@
         case 1:
           network.Heal();
           break;
-        case 2:
-          network.Kill(random.Below(2) == 0 ? host : network.Root());
+        case 2: {
+          const std::size_t victim =
+            random.Below(2) == 0 ? host : network.Root();
+          network.Kill(victim);
+          network.At(network.Now() + milliseconds(random.Below(4000)),
+                     [&network, victim] { network.Start(victim); });
           break;
+        }
         case 3:
           network.Start(host);
           break;
@@ -156,7 +182,7 @@
           break;
         case 7:
           for (std::size_t i = 0; i < network.Size(); ++i) {
-            if (random.Below(2) == 0) {
+            if (random.Below(2) == 0 || host % 2 == 0) {
               network.Start(i);
             }
           }
--- a/packages/quotas/test/support/Network.h
+++ b/packages/quotas/test/support/Network.h
@@ -21,7 +21,8 @@
   double mLoss = 0;
   /** Part of the messages that arrive up to 4 s late. */
   double mLate = 0;
-  /** Use tokens at a random time before they expire, instead of at once. */
+  /** Use the tokens of which it is possible at the same moments, instead of
+   * each at once. */
   bool mIsUseDelayed = false;
 };
 
@@ -90,6 +91,7 @@
     host.mView.clear();
     host.mActive = {};
     host.mIsLeaving = false;
+    host.mDescribedAt = {};
     host.mDetection = milliseconds(1600 + mRandom.Below(1600));
     host.mControl = std::make_unique<QuotaControl>(
       host.mIdentity.mId, QuotaSettings{}, mNow, mRandom.Next());
@@ -188,6 +190,7 @@
     bool mIsLeaving = false;
     /** Silence after which the host takes others for dead. */
     Duration mDetection{};
+    TimePoint mDescribedAt;
     std::map<base::HostId, std::pair<membership::HostView, TimePoint>> mView;
     membership::ActiveHostCounter mActive;
     std::map<Level, base::HostId> mTargets;
@@ -228,26 +231,34 @@
       if (!host.mControl || mNow < host.mFrozenUntil) {
         continue;
       }
+      bool hasChanged = mNow - host.mDescribedAt >= seconds(1);
+      const auto setState = [&](membership::HostView& aHost, HostState aState) {
+        hasChanged |= std::exchange(aHost.mState, aState) != aState;
+      };
       for (std::size_t j = 0; j < mHosts.size(); ++j) {
         const Host& other = mHosts[j];
         if (other.mControl && mNow >= other.mFrozenUntil && !IsCut(i, j)) {
-          const auto it =
-            host.mView
-              .try_emplace(
-                other.mIdentity.mId,
-                std::pair(membership::HostView{ other.mIdentity }, mNow))
-              .first;
-          it->second.first.mState =
-            other.mIsLeaving ? HostState::Leaving : HostState::Alive;
+          const auto [it, isNew] = host.mView.try_emplace(
+            other.mIdentity.mId,
+            std::pair(membership::HostView{ other.mIdentity }, mNow));
+          hasChanged |= isNew;
           it->second.second = mNow;
+          setState(it->second.first,
+                   other.mIsLeaving ? HostState::Leaving : HostState::Alive);
         }
       }
-      std::vector<membership::HostView> view;
       for (auto& [id, entry] : host.mView) {
         const bool isSilent = mNow - entry.second >= host.mDetection;
         if (isSilent && entry.first.mState == HostState::Alive) {
-          entry.first.mState = HostState::Dead;
+          setState(entry.first, HostState::Dead);
         }
+      }
+      if (!hasChanged) {
+        continue;
+      }
+      host.mDescribedAt = mNow;
+      std::vector<membership::HostView> view;
+      for (const auto& [id, entry] : host.mView) {
         view.push_back(entry.first);
       }
       host.mActive.OnView(mNow, view);
@@ -328,8 +339,11 @@
   void Use(std::size_t aHost, const Token& aToken)
   {
     TimePoint time = mNow;
-    if (mOptions.mIsUseDelayed && aToken.mExpiry != TimePoint::max()) {
-      time += (aToken.mExpiry - mNow) * mRandom.Below(1000) / 1000;
+    const TimePoint moment =
+      mNow + seconds(6) - mNow.time_since_epoch() % Duration(seconds(6));
+    if (mOptions.mIsUseDelayed && moment < aToken.mExpiry &&
+        aToken.mExpiry != TimePoint::max()) {
+      time = moment;
     }
     mRuns[aToken.mCustomer].push_back({ time, aHost });
   }
