Entry: hold customers to their quotas

Cause: the quota component decides, but requests didn't ask it. Change: a request of a customer with a quota takes a token once an upstream is selected, just before it is sent; without one it waits for the answer or is refused with 429. A token goes back if the request hasn't run.

--- a/packages/carriage/src/RequestAction.h
+++ b/packages/carriage/src/RequestAction.h
@@ -20,6 +20,10 @@
   UnconfirmedKey,
   /** The route and the customer have no allowed region in common. */
   NoCommonRegion,
+  /** The customer's quota is used up. */
+  OverQuota,
+  /** No other host told in time whether the customer's quota is used up. */
+  QuotaUnknown,
   NoCapacity,
   NoUpstream,
   NoBudget,
--- a/packages/carriage/src/RequestStateMachine.cpp
+++ b/packages/carriage/src/RequestStateMachine.cpp
@@ -26,6 +26,10 @@
       return "unconfirmed_key";
     case Reason::NoCommonRegion:
       return "no_common_region";
+    case Reason::OverQuota:
+      return "over_quota";
+    case Reason::QuotaUnknown:
+      return "quota_unknown";
     case Reason::NoCapacity:
       return "no_room";
     case Reason::NoUpstream:
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -3,6 +3,7 @@
 #include "cluster/Cluster.h"
 #include "entry/src/Directory.h"
 #include "entry/src/HealthChecks.h"
+#include "entry/src/QuotaNode.h"
 #include "entry/src/RequestForwarder.h"
 #include "entry/src/Services.h"
 #include "entry/src/StopPlan.h"
@@ -69,6 +70,30 @@
   return settings;
 }
 
+std::set<base::DataCentreId> CentresOf(const EntrySettings& aSettings)
+{
+  std::set<base::DataCentreId> centres;
+  for (const auto& [centre, region] : aSettings.mRegions) {
+    centres.insert(centre);
+  }
+  return centres;
+}
+
+/** \returns the quotas of those customers that have one. */
+quotas::QuotaTable QuotasOf(const routing::Configuration& aConfiguration)
+{
+  quotas::QuotaTable table;
+  if (aConfiguration.mCustomers) {
+    for (const auto& it : aConfiguration.mCustomers->Customers()) {
+      if (it->mQuota.IsLimited()) {
+        table[HashCustomer(it->mId.Text())] = { it->mQuota.mRate,
+                                                it->mQuota.mBurst };
+      }
+    }
+  }
+  return table;
+}
+
 std::uint64_t RandomSeed()
 {
   std::random_device device;
@@ -115,6 +140,8 @@
   HealthChecks mChecks;
   peer::Transport mTransport;
   cluster::ClusterNode mCluster;
+  /** Outlives the requests, which end with mFront. */
+  QuotaNode mQuotas;
   http::Server mFront;
   membership::ActiveHostCounter mActiveHosts;
   http::Loop::TimerId mTick;
@@ -214,11 +241,14 @@
       [this](const http::Endpoint& aPeer, base::ConfigVersion aVersion) {
         OnVersionAnnounced(aPeer, aVersion);
       })
+  , mQuotas({ aLoop, mMetrics, mTransport, mCluster, mActiveHosts },
+            CentresOf(mSettings), mSettings.mQuotas, mRandom.Next())
   , mFront(aLoop, mSettings.mFront,
            [this](const std::shared_ptr<http::ServerExchange>& aExchange) {
              OnRequest(aExchange);
            })
 {
+  mServices.mQuotas = &mQuotas;
   mTick = mLoop.Every(kTick, [this] { OnTick(); });
   mCountTimer = mLoop.Every(kHostCountInterval, [this] {
     UpdateHostCounts();
@@ -254,6 +284,9 @@
 
 void EntryNode::Impl::OnMessage(const protocol::Envelope& aEnvelope)
 {
+  if (mQuotas.OnMessage(aEnvelope)) {
+    return;
+  }
   if (!aEnvelope.has_crash_report()) {
     mCluster.OnMessage(aEnvelope);
     return;
@@ -319,6 +352,7 @@
   counts.mSharers =
     std::max(mActiveHosts.Count(mLoop.Now()), mSettings.mRegions.size());
   counts.mSelf = mSettings.mHost;
+  mQuotas.OnViewChanged();
   counts.mLimitSharers = LimitSharers();
   mServices.mSharers = counts.mSharers;
   mServices.mPlacement.SetHostCounts(mLoop.Now(), counts);
@@ -541,6 +575,7 @@
   if (routes.Current().mCustomers) {
     mImpl->mCluster.SetConfigVersion(version);
   }
+  mImpl->mQuotas.SetQuotas(QuotasOf(routes.Current()));
   mImpl->JoinWhenReady();
 }
 
--- a/packages/entry/src/RequestForwarder.cpp
+++ b/packages/entry/src/RequestForwarder.cpp
@@ -74,6 +74,8 @@
 RequestForwarder::~RequestForwarder()
 {
   --mServices.mOpenRequests;
+  LeaveQuota();
+  GiveBackToken();
   StopTimer();
   StopStragglerTimer();
 }
--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -13,10 +13,11 @@
 /**
  * Forwards one request: buffers its body, executes the actions of its
  * RequestStateMachine, and sends the response to the client. It lives until the
- * exchange with the client ends. The members are defined in five files:
+ * exchange with the client ends. The members are defined in six files:
  * - RequestForwarder.cpp: receiving the request
  * - RequestForwarderCustomers.cpp: the customer that sent it
  * - RequestForwarderSelection.cpp: selecting an upstream
+ * - RequestForwarderQuotas.cpp: the customer's quota
  * - RequestForwarderAttempts.cpp: the attempts at upstreams
  * - RequestForwarderResponses.cpp: responses to the client and log events
  */
@@ -91,6 +92,14 @@
   void RefuseQueued();
   void LeaveQueue();
   void Send(const placing::Placed& aPlace);
+  /** Sends the request to the selected upstream once the customer's quota
+   * allows it, and refuses it if the quota is used up. */
+  void SendWithinQuota(const placing::Placed& aPlace);
+  void OnQuotaDecision(const quotas::Decision& aDecision);
+  /** Ends the wait for the quota, and frees the selected upstream. */
+  void LeaveQuota();
+  /** Gives back the token of a request that hasn't run. */
+  void GiveBackToken();
   http::ClientRequest MakeRequest(const base::UpstreamId& aUpstream) const;
   base::Duration TimeLeft() const;
   /** Pauses the client while the attempt's upstream reads more slowly. */
@@ -137,6 +146,15 @@
   /** Until when a response meets the route's latency target. */
   base::TimePoint mLatencyDeadline;
   carriage::RequestBody mBody{ kMaxBufferedBodyBytes };
+  /** The selected upstream, while the request waits for its quota. */
+  std::optional<placing::Placed> mHeldPlace;
+  std::optional<quotas::WaiterId> mQuotaWaiter;
+  /** The token of the customer's quota, if one was needed. */
+  std::optional<quotas::Token> mToken;
+  /** Whether an attempt with the token is open, or may have run the request. */
+  bool mIsTokenUsed = false;
+  /** Whether an attempt that has ended may have run the request. */
+  bool mHasRun = false;
   std::shared_ptr<Attempt> mAttempt;
   /** Whether the placement still counts the attempt at its upstream. */
   bool mIsAttemptOpen = false;
--- a/packages/entry/src/RequestForwarderAttempts.cpp
+++ b/packages/entry/src/RequestForwarderAttempts.cpp
@@ -90,6 +90,10 @@
     return;
   }
   mBody.OnAttemptEnded();
+  const bool isNotRun =
+    aOutcome == Outcome::Rejected || aOutcome == Outcome::Unreachable;
+  mIsTokenUsed = mIsTokenUsed && (mHasRun || !isNotRun);
+  mHasRun = mHasRun || !isNotRun;
   placing::PlacedResult result;
   result.mUpstream = mAttempt->Place().mUpstream;
   result.mOutcome = aOutcome;
--- a/packages/entry/src/RequestForwarderResponses.cpp
+++ b/packages/entry/src/RequestForwarderResponses.cpp
@@ -49,13 +49,17 @@
     RespondUnknownKey();
     return;
   }
-  LogEnd(carriage::ReasonName(aReason), 503);
+  constexpr int kStatusTooManyRequests = 429;
+  constexpr int kStatusUnavailable = 503;
+  const int status =
+    aReason == Reason::OverQuota ? kStatusTooManyRequests : kStatusUnavailable;
+  LogEnd(carriage::ReasonName(aReason), status);
   mIsAnswered = true;
   http::Headers headers;
   if (aRetryAfter > base::Duration::zero()) {
     headers.Append("retry-after", FormatSeconds(aRetryAfter));
   }
-  mExchange->Respond(503, headers, "");
+  mExchange->Respond(status, headers, "");
 }
 
 void RequestForwarder::RespondUnknownRoute()
--- a/packages/entry/src/RequestForwarderSelection.cpp
+++ b/packages/entry/src/RequestForwarderSelection.cpp
@@ -88,8 +88,7 @@
   }
   LeaveQueue();
   if (place != nullptr) {
-    mStateMachine->OnUpstreamSelected();
-    Send(*place);
+    SendWithinQuota(*place);
   } else if (const auto* full = std::get_if<placing::NoCapacity>(&decision)) {
     Execute(
       mStateMachine->OnSelectionFailed(Reason::NoCapacity, full->mRetryAfter));
@@ -108,6 +107,7 @@
 
 void RequestForwarder::LeaveQueue()
 {
+  LeaveQuota();
   if (mTicket) {
     mQueueTime = mServices.mLoop.Now() - mArrived;
     mServices.mDispatcher.Remove(*std::exchange(mTicket, std::nullopt));
@@ -152,6 +152,7 @@
 {
   mPlaceRequest.mTried.push_back(aPlace.mUpstream);
   mIsAttemptOpen = true;
+  mIsTokenUsed = true;
   mAttempt = std::make_shared<Attempt>(mServices, weak_from_this(), aPlace);
   mAttempt->Start(MakeRequest(aPlace.mUpstream));
   mAttempt->Exchange().SendBody(mBody.OnAttemptBegins());
--- a/packages/entry/src/Services.h
+++ b/packages/entry/src/Services.h
@@ -6,6 +6,7 @@
 #include "entry/src/CrashWatch.h"
 #include "entry/src/Dispatcher.h"
 #include "entry/src/EntrySettings.h"
+#include "entry/src/QuotaNode.h"
 #include "entry/src/Translator.h"
 #include "http/Http.h"
 #include "placing/Placing.h"
@@ -39,6 +40,8 @@
   std::unordered_map<routing::RouteId, base::Duration> mMaxTimeLeft{};
   CrashWatch mCrashes{ mLoop, mClient, mMetrics, mEndpoints };
   retries::StragglerPolicy mStragglers{};
+  /** Set before the first request. */
+  QuotaNode* mQuotas = nullptr;
   routing::Confirmation mConfirmation{};
   /** Whether another host has had a newer version for longer than versions take
    * to spread. */
