Server: several exchanges on one connection, answered in order

Cause: a connection carried one exchange and read nothing behind it, so a short request behind a slow one was late. A request for which the predicate doesn't hold is passed on in its turn. Refusals (400, 408, 413, 431) and the announcement of a planned stop come last; an abort before its turn ends those behind it and leaves the earlier ones answered. Without the predicate a server works as before. Also mended, as the same code decides it: bytes behind a refused head were parsed again and could close the connection before the refusal was sent, and an overlong trailer got a second response if the first had begun.

--- a/packages/http/src/HttpServerConnection.cpp
+++ b/packages/http/src/HttpServerConnection.cpp
@@ -1,6 +1,5 @@
 #include "http/src/HttpServerConnection.h"
 
-#include <cassert>
 #include <utility>
 
 namespace auburnmux::http::internal {
@@ -15,6 +14,12 @@
 // could lose the response.
 constexpr base::Duration kLingerTimeout = std::chrono::seconds(2);
 
+bool HasBody(const RequestHead& aHead)
+{
+  return aHead.mIsChunked ||
+         (aHead.mContentLength && aHead.mContentLength->Count() > 0);
+}
+
 } // namespace
 
 HttpServerConnection::HttpServerConnection(Owner& aOwner, int aDescriptor,
@@ -35,22 +40,31 @@
     if (age > kLingerTimeout) {
       Close();
     }
-  } else if (mExchange) {
-    return;
-  } else if (mIsReadingHead && age > mOwner.Limits().mHeadTimeout) {
-    RefuseHead(408, "the request head did not arrive in time");
-  } else if (!mIsReadingHead && age > mOwner.Limits().mIdleTimeout) {
+  } else if (mIsReadingHead && !MayRead()) {
+    mPhaseStart = aNow; // the rest of the head may have arrived
+  } else if (mIsReadingHead) {
+    if (age > mOwner.Limits().mHeadTimeout) {
+      RefuseHead(408, "the request head did not arrive in time");
+    }
+  } else if (mExchanges.IsEmpty() && age > mOwner.Limits().mIdleTimeout) {
     BeginLingeringClose();
   }
 }
 
 void HttpServerConnection::CloseIfIdle()
 {
-  if (!mExchange && !mIsReadingHead && !mIsLingering) {
+  if (mExchanges.IsEmpty() && !mIsReadingHead && !mIsLingering) {
     BeginLingeringClose();
   }
 }
 
+void HttpServerConnection::CloseAfterResponses()
+{
+  if (!mExchanges.IsEmpty()) {
+    mExchanges.Last()->CloseAfterResponse();
+  }
+}
+
 void HttpServerConnection::Close()
 {
   if (!mStream.IsOpen()) {
@@ -58,12 +72,36 @@
   }
   const auto self = shared_from_this();
   mStream.Close();
-  if (const auto exchange = std::exchange(mExchange, nullptr)) {
-    exchange->HandleClosed(false);
-  }
+  EndExchanges();
   mOwner.OnConnectionClosed(*this);
 }
 
+void HttpServerConnection::EndExchanges()
+{
+  for (const auto& it : mExchanges.TakeAll()) {
+    it->HandleClosed(false);
+  }
+}
+
+void HttpServerConnection::Abort(const ServerExchangeImpl& aExchange)
+{
+  if (mExchanges.IsFirst(aExchange)) {
+    Close();
+    return;
+  }
+  mIsCut = true;
+  mIsReadingHead = false;
+  for (const auto& it : mExchanges.TakeFrom(aExchange)) {
+    it->HandleClosed(false);
+  }
+}
+
+std::size_t HttpServerConnection::PendingBytes(
+  const ServerExchangeImpl& aExchange) const
+{
+  return mStream.PendingBytes() + mExchanges.WaitingBytesUpTo(aExchange);
+}
+
 void HttpServerConnection::OnReady(SocketReadiness aReadiness)
 {
   const auto self = shared_from_this();
@@ -84,14 +122,30 @@
 
 bool HttpServerConnection::MayRead() const
 {
-  if (mIsLingering || !mExchange) {
+  if (mIsLingering || mExchanges.IsEmpty()) {
     return true;
   }
-  return !mExchange->IsBodyEnded() && !mExchange->IsPaused();
+  const ServerExchangeImpl& last = *mExchanges.Last();
+  if (mIsCut || !last.IsStarted()) {
+    return false;
+  }
+  if (IsReadingBody()) {
+    return !last.IsPaused();
+  }
+  return mOwner.ReadsAhead() && !last.ClosesAfter() && !mExchanges.IsFull();
+}
+
+bool HttpServerConnection::IsReadingBody() const
+{
+  return !mExchanges.IsEmpty() && !mExchanges.Last()->IsBodyEnded();
 }
 
 void HttpServerConnection::Process()
 {
+  if (!mExchanges.IsEmpty() && !mExchanges.First()->IsStarted()) {
+    const auto first = mExchanges.First();
+    Start(first);
+  }
   for (int i = 0;; ++i) {
     while (mStream.IsOpen() && MayRead() && ParseInput()) {
     }
@@ -127,7 +181,7 @@
     mInputStart = mInput.size();
     return true;
   }
-  if (!mExchange && !mIsReadingHead) {
+  if (!mIsReadingHead && !IsReadingBody()) {
     mIsReadingHead = true;
     mPhaseStart = mOwner.EventLoop().Now();
     mReader = std::make_unique<RequestReader>(mOwner.Limits().mMaxHead);
@@ -135,7 +189,7 @@
   const std::string_view bytes = std::string_view(mInput).substr(mInputStart);
   const ReadStep step = mReader->Read(bytes, *this);
   mInputStart += step.mConsumed;
-  if (!mStream.IsOpen() || mIsLingering) {
+  if (!mStream.IsOpen() || mIsLingering || mIsCut) {
     return false;
   }
   switch (step.mState) {
@@ -143,21 +197,26 @@
       BeginExchange();
       return true;
     case ReadState::Complete:
-      if (mExchange && !mExchange->IsBodyEnded()) {
-        mExchange->HandleBodyEnd();
+      if (IsReadingBody()) {
+        const auto exchange = mExchanges.Last();
+        exchange->HandleBodyEnd();
         FlushSoon();
       }
       return true;
     case ReadState::NeedsMore:
       return step.mConsumed > 0;
     case ReadState::HeadTooLong:
-      RefuseHead(431, "the request head is too long");
+      if (mIsReadingHead) {
+        RefuseHead(431, "the request head is too long");
+      } else {
+        RefuseBody(431, "the request trailer is too long");
+      }
       return false;
     case ReadState::Malformed:
-      if (mExchange) {
-        Close();
-      } else {
+      if (mIsReadingHead) {
         RefuseHead(400, "malformed request head");
+      } else {
+        Abort(*mExchanges.Last());
       }
       return false;
   }
@@ -169,77 +228,100 @@
   mIsReadingHead = false;
   mBodyBytes = 0;
   mMaxBody = mOwner.Limits().mMaxBody;
-  mKeepsAlive = mReader->KeepsAlive();
   RequestHead head = mReader->TakeHead();
   head.mClientAddress = mClientAddress;
-  const bool hasBody = head.mIsChunked || (head.mContentLength &&
-                                           head.mContentLength->Count() > 0);
   const bool isTooLarge =
     head.mContentLength && *head.mContentLength > mMaxBody;
   const bool hasHost = head.mHeaders.Find("host").has_value();
   const auto expect = head.mHeaders.Find("expect");
-  const bool isExpecting = hasBody && expect && *expect == "100-continue";
+  mIsContinueExpected = HasBody(head) && expect && *expect == "100-continue";
   head.mHeaders.Remove("expect");
-  mExchange = std::make_shared<ServerExchangeImpl>(*this, std::move(head));
-  if (mOwner.ClosesAfterResponses() || !mKeepsAlive) {
-    mExchange->CloseAfterResponse();
+  const auto exchange =
+    std::make_shared<ServerExchangeImpl>(*this, std::move(head));
+  mExchanges.Append(exchange);
+  if (mOwner.ClosesAfterResponses() || !mReader->KeepsAlive()) {
+    exchange->CloseAfterResponse();
   }
-  const auto exchange = mExchange;
   if (!hasHost || isTooLarge) {
     Refuse(hasHost ? 413 : 400, hasHost ? "the request body is too large"
                                         : "malformed request head");
-    return;
+  } else if (mExchanges.IsFirst(*exchange) ||
+             mOwner.MayRunEarly(exchange->Head())) {
+    Start(exchange);
   }
-  if (isExpecting) {
-    mStream.Queue("HTTP/1.1 100 Continue\r\n\r\n");
-    FlushSoon();
+}
+
+void HttpServerConnection::Start(
+  const std::shared_ptr<ServerExchangeImpl>& aExchange)
+{
+  aExchange->HandleStarted();
+  if (mIsContinueExpected) {
+    aExchange->SendContinue();
   }
-  mOwner.OnRequest(exchange);
-  if (!hasBody && !exchange->IsClosed()) {
-    exchange->HandleBodyEnd();
+  mOwner.OnRequest(aExchange);
+  if (!HasBody(aExchange->Head()) && !aExchange->IsClosed()) {
+    aExchange->HandleBodyEnd();
     FlushSoon();
   }
 }
 
 void HttpServerConnection::OnBodyPart(std::string_view aPart)
 {
-  if (!mExchange) {
-    return;
+  if (!IsReadingBody()) {
+    return; // the exchange was ended
   }
+  const auto exchange = mExchanges.Last();
   mBodyBytes += aPart.size();
-  if (mExchange->IsFinished()) {
+  if (exchange->IsFinished()) {
     return; // the rest of a body that is no longer needed
   }
   if (mBodyBytes <= mMaxBody.Count()) {
-    mExchange->HandleBody(aPart);
-  } else if (!mExchange->IsHeadSent()) {
-    Refuse(413, "the request body is too large");
+    exchange->HandleBody(aPart);
   } else {
-    Close(); // a part that is dropped would go unnoticed
+    RefuseBody(413, "the request body is too large");
   }
 }
 
 void HttpServerConnection::Refuse(int aStatus, std::string_view aReason)
 {
   RequestHead head;
-  if (const auto refused = std::exchange(mExchange, nullptr)) {
-    head.mMethod = refused->Head().mMethod;
-    refused->HandleClosed(false);
-  }
-  mExchange = std::make_shared<ServerExchangeImpl>(*this, std::move(head));
-  const auto exchange = mExchange;
-  exchange->CloseAfterResponse();
-  exchange->Respond(
-    aStatus,
-    { { "content-type", "application/json" }, { "work-outcome", "not-run" } },
-    R"({"outcome":"not-run","reason":")" + std::string(aReason) + "\"}");
+  head.mMethod = mExchanges.Last()->Head().mMethod;
+  const auto refusal =
+    std::make_shared<ServerExchangeImpl>(*this, std::move(head));
+  mExchanges.ReplaceLast(refusal)->HandleClosed(false);
+  RespondRefused(*refusal, aStatus, aReason);
 }
 
 void HttpServerConnection::RefuseHead(int aStatus, std::string_view aReason)
 {
   mIsReadingHead = false;
   mInputStart = mInput.size();
-  Refuse(aStatus, aReason);
+  const auto refusal =
+    std::make_shared<ServerExchangeImpl>(*this, RequestHead());
+  mExchanges.Append(refusal);
+  RespondRefused(*refusal, aStatus, aReason);
+}
+
+void HttpServerConnection::RefuseBody(int aStatus, std::string_view aReason)
+{
+  const auto exchange = mExchanges.Last();
+  if (exchange->IsHeadSent()) {
+    Abort(*exchange); // a part that is dropped would go unnoticed
+  } else {
+    Refuse(aStatus, aReason);
+  }
+}
+
+void HttpServerConnection::RespondRefused(ServerExchangeImpl& aExchange,
+                                          int aStatus, std::string_view aReason)
+{
+  aExchange.HandleStarted();
+  aExchange.HandleBodyEnd(); // nothing more is read for it
+  aExchange.CloseAfterResponse();
+  aExchange.Respond(
+    aStatus,
+    { { "content-type", "application/json" }, { "work-outcome", "not-run" } },
+    R"({"outcome":"not-run","reason":")" + std::string(aReason) + "\"}");
 }
 
 void HttpServerConnection::FlushSoon()
@@ -274,30 +356,42 @@
 
 void HttpServerConnection::FlushNow()
 {
-  if (!mStream.Flush()) {
-    Close();
-    return;
-  }
-  if (mStream.PendingBytes() > 0 || !mExchange) {
-    return;
-  }
-  if (!mExchange->IsFinished()) {
-    mExchange->HandleWritable();
-    return;
-  }
-  if (mExchange->ClosesAfter() || mExchange->IsBodyEnded()) {
+  const auto self = shared_from_this();
+  while (mStream.IsOpen() && !mIsLingering) {
+    if (!mStream.Flush()) {
+      Close();
+      return;
+    }
+    if (mStream.PendingBytes() > 0 || mExchanges.IsEmpty()) {
+      return;
+    }
+    const auto first = mExchanges.First();
+    if (!first->IsFinished()) {
+      first->HandleWritable();
+      return;
+    }
+    if (!first->ClosesAfter() && !first->IsBodyEnded()) {
+      return;
+    }
     CompleteExchange();
   }
 }
 
 void HttpServerConnection::CompleteExchange()
 {
-  const auto exchange = std::exchange(mExchange, nullptr);
-  mPhaseStart = mOwner.EventLoop().Now();
+  const auto exchange = mExchanges.TakeFirst();
+  if (!mIsReadingHead) {
+    mPhaseStart = mOwner.EventLoop().Now();
+  }
   exchange->HandleClosed(true);
-  if (exchange->ClosesAfter()) {
+  if (!mStream.IsOpen()) {
+    return;
+  }
+  if (exchange->ClosesAfter() || (mIsCut && mExchanges.IsEmpty())) {
+    EndExchanges();
     BeginLingeringClose();
   } else {
+    mExchanges.StartTurn();
     ReadSoon();
   }
 }
--- a/packages/http/src/HttpServerConnection.h
+++ b/packages/http/src/HttpServerConnection.h
@@ -1,73 +1,19 @@
 #pragma once
 
+#include "http/src/ExchangeQueue.h"
 #include "http/src/MessageReader.h"
-#include "http/src/Server.h"
 #include "http/src/TcpStream.h"
 
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 
 namespace auburnmux::http::internal {
 
-class HttpServerConnection;
-
-/** Implements ServerExchange on an HttpServerConnection. */
-class ServerExchangeImpl final : public ServerExchange
-{
-public:
-  ServerExchangeImpl(HttpServerConnection& aConnection, RequestHead aHead);
-
-  const RequestHead& Head() const override { return mHead; }
-  bool IsClosed() const override { return mConnection == nullptr; }
-  bool IsHeadSent() const override { return mIsHeadSent; }
-  base::ByteCount PendingBytes() const override;
-  void Observe(std::unique_ptr<RequestObserver> aObserver) override;
-  void PauseReading(bool aIsPaused) override;
-  void SendHead(const ResponseHead& aHead) override;
-  void SendBody(std::string_view aPart) override;
-  void Finish() override;
-  void Abort() override;
-
-  /** Closes the connection after the response, and announces it in a head that
-   * is not sent yet. */
-  void CloseAfterResponse() { mClosesAfter = true; }
-  bool ClosesAfter() const { return mClosesAfter; }
-  /** \returns whether the whole response was queued. */
-  bool IsFinished() const { return mIsFinished; }
-  bool IsBodyEnded() const { return mIsBodyEnded; }
-  /** \returns whether the delivery of body parts is paused. */
-  bool IsPaused() const { return mIsPaused || mIsWaitingForObserver; }
-
-  void HandleBody(std::string_view aPart);
-  void HandleBodyEnd();
-  /** All queued bytes were written to the socket. */
-  void HandleWritable();
-  /** Ends the exchange and detaches it from the connection. */
-  void HandleClosed(bool aIsComplete);
-
-private:
-  void DeliverEarlyEvents();
-  void AppendChunk(std::string_view aPart);
-
-  HttpServerConnection* mConnection;
-  RequestHead mHead;
-  std::unique_ptr<RequestObserver> mObserver;
-  std::string mEarlyBody;
-  bool mIsBodyEnded = false;
-  bool mIsBodyEndDelivered = false;
-  bool mIsPaused = false;
-  // Whether body parts arrived before an observer was installed; reading is
-  // paused until then.
-  bool mIsWaitingForObserver = false;
-  bool mIsHeadSent = false;
-  bool mIsChunked = false;
-  bool mIsFinished = false;
-  bool mClosesAfter = false;
-};
-
-/** A persistent connection of a Server; carries one exchange at a time. */
+/**
+ * A persistent connection of a Server. It may read further requests while
+ * earlier ones are unanswered; responses are sent in the order of the requests.
+ */
 class HttpServerConnection final
   : public SocketWatcher
   , public BodySink
@@ -82,6 +28,11 @@
     virtual Loop& EventLoop() = 0;
     virtual const ServerLimits& Limits() const = 0;
     virtual bool ClosesAfterResponses() const = 0;
+    /** \returns whether a request is read while an earlier one of its
+     * connection is unanswered. */
+    virtual bool ReadsAhead() const = 0;
+    /** \returns whether such a request is passed on before its turn. */
+    virtual bool MayRunEarly(const RequestHead& aHead) const = 0;
     virtual void OnRequest(const std::shared_ptr<ServerExchangeImpl>&) = 0;
     /** The connection's socket is closed. */
     virtual void OnConnectionClosed(HttpServerConnection& aConnection) = 0;
@@ -94,13 +45,13 @@
   void CheckTimeouts(base::TimePoint aNow);
   /** Closes the connection if it carries no request. */
   void CloseIfIdle();
-  bool HasExchange() const { return mExchange != nullptr; }
-  const std::shared_ptr<ServerExchangeImpl>& Exchange() const
-  {
-    return mExchange;
-  }
+  /** Closes the connection after the response to the last request that was
+   * read, if one is unanswered. */
+  void CloseAfterResponses();
+  /** \returns the number of open exchanges. */
+  std::size_t ExchangeCount() const { return mExchanges.Size(); }
   int Descriptor() const { return mDescriptor; }
-  /** Closes the connection and ends its exchange, if any, as incomplete. */
+  /** Closes the connection and ends its exchanges as incomplete. */
   void Close();
 
   void OnReady(SocketReadiness aReadiness) override;
@@ -108,7 +59,12 @@
 
   // Called by the exchange.
   void Queue(std::string_view aBytes) { mStream.Queue(aBytes); }
-  std::size_t PendingBytes() const { return mStream.PendingBytes(); }
+  /** \returns the bytes of \a aExchange's response, and of those before it,
+   * that are not written to the socket yet. */
+  std::size_t PendingBytes(const ServerExchangeImpl& aExchange) const;
+  /** Ends \a aExchange and those behind it as incomplete. The connection
+   * closes once the requests before it are answered. */
+  void Abort(const ServerExchangeImpl& aExchange);
   /** Sends the queued bytes after the events of this loop iteration. */
   void FlushSoon();
   /** Resumes reading after the events of this loop iteration. */
@@ -116,17 +72,28 @@
 
 private:
   bool MayRead() const;
+  /** \returns whether the body of the last request is incomplete. */
+  bool IsReadingBody() const;
   void Process();
   void ReadInput();
   /** \returns whether parsing should continue with the remaining input. */
   bool ParseInput();
   void BeginExchange();
-  /** Ends the exchange, if any, as incomplete, and sends a response in its
-   * place. */
+  /** Passes the request on. */
+  void Start(const std::shared_ptr<ServerExchangeImpl>& aExchange);
+  /** Ends the last exchange as incomplete and refuses its request. */
   void Refuse(int aStatus, std::string_view aReason);
+  /** Refuses a request whose head is incomplete or unacceptable. */
   void RefuseHead(int aStatus, std::string_view aReason);
+  /** Ends the last exchange because the rest of its body is unacceptable. */
+  void RefuseBody(int aStatus, std::string_view aReason);
+  /** Answers a refused request, and closes the connection after it. */
+  static void RespondRefused(ServerExchangeImpl& aExchange, int aStatus,
+                             std::string_view aReason);
   void FlushNow();
+  /** Ends the first exchange; the next one has its turn. */
   void CompleteExchange();
+  void EndExchanges();
   void BeginLingeringClose();
 
   Owner& mOwner;
@@ -136,14 +103,18 @@
   std::string mInput;
   std::size_t mInputStart = 0;
   std::unique_ptr<RequestReader> mReader;
-  std::shared_ptr<ServerExchangeImpl> mExchange;
+  ExchangeQueue mExchanges;
+  // Of the last request:
   std::uint64_t mBodyBytes = 0;
   /** The limit that was in force when the request began. */
   base::ByteCount mMaxBody;
+  bool mIsContinueExpected = false;
   // Start of the idle time, of reading a head or of the lingering close.
   base::TimePoint mPhaseStart;
-  bool mKeepsAlive = true;
   bool mIsReadingHead = false;
+  /** Whether an exchange was aborted before its turn, so that the connection
+   * closes once those before it are answered. */
+  bool mIsCut = false;
   bool mMayHaveUnread = true;
   bool mIsLingering = false;
   bool mIsFlushPosted = false;
--- a/packages/http/src/Server.cpp
+++ b/packages/http/src/Server.cpp
@@ -40,16 +40,23 @@
 
 struct Server::Impl final : HttpServerConnection::Owner
 {
-  Impl(Loop& aLoop, Handler aHandler, ConnectionObserver* aObserver)
+  Impl(Loop& aLoop, Handler aHandler, ConnectionObserver* aObserver,
+       ServerOptions aOptions)
     : mLoop(aLoop)
     , mHandler(std::move(aHandler))
     , mObserver(aObserver)
+    , mOptions(std::move(aOptions))
   {
   }
 
   Loop& EventLoop() override { return mLoop; }
   const ServerLimits& Limits() const override { return mLimits; }
   bool ClosesAfterResponses() const override { return mClosesAfterResponses; }
+  bool ReadsAhead() const override { return mOptions.mMayRunEarly != nullptr; }
+  bool MayRunEarly(const RequestHead& aHead) const override
+  {
+    return ReadsAhead() && mOptions.mMayRunEarly(aHead);
+  }
   void OnRequest(const std::shared_ptr<ServerExchangeImpl>& aExchange) override
   {
     mHandler(aExchange);
@@ -64,6 +71,7 @@
   Loop& mLoop;
   Handler mHandler;
   ConnectionObserver* mObserver;
+  ServerOptions mOptions;
   ServerLimits mLimits;
   std::unique_ptr<Listener> mListener;
   Loop::TimerId mCheckTimer;
@@ -116,9 +124,9 @@
 }
 
 Server::Server(Loop& aLoop, const Endpoint& aListen, Handler aHandler,
-               ConnectionObserver* aConnectionObserver)
-  : mImpl(
-      std::make_unique<Impl>(aLoop, std::move(aHandler), aConnectionObserver))
+               ConnectionObserver* aConnectionObserver, ServerOptions aOptions)
+  : mImpl(std::make_unique<Impl>(aLoop, std::move(aHandler),
+                                 aConnectionObserver, std::move(aOptions)))
 {
   Impl* impl = mImpl.get();
   impl->mListener = std::make_unique<Listener>(
@@ -149,7 +157,7 @@
 {
   std::size_t n = 0;
   for (const auto& [key, connection] : mImpl->mConnections) {
-    n += connection->HasExchange() ? 1 : 0;
+    n += connection->ExchangeCount();
   }
   return n;
 }
@@ -158,9 +166,7 @@
 {
   mImpl->mClosesAfterResponses = true;
   for (const auto& [key, connection] : mImpl->mConnections) {
-    if (connection->HasExchange()) {
-      connection->Exchange()->CloseAfterResponse();
-    }
+    connection->CloseAfterResponses();
   }
 }
 
--- a/packages/http/src/Server.h
+++ b/packages/http/src/Server.h
@@ -21,6 +21,17 @@
   base::Duration mIdleTimeout = std::chrono::seconds(60);
 };
 
+/** Options of a Server. */
+struct ServerOptions
+{
+  /**
+   * Tells from the head of a request whether it may run while earlier ones of
+   * its connection are unanswered. Others wait until those are answered. If
+   * unset, a request is not read before.
+   */
+  std::function<bool(const RequestHead&)> mMayRunEarly;
+};
+
 /** Receives the events of one request; a ServerExchange owns it. */
 class RequestObserver
 {
@@ -49,7 +60,8 @@
   /** \returns whether the exchange has ended; sends are then ignored. */
   virtual bool IsClosed() const = 0;
   virtual bool IsHeadSent() const = 0;
-  /** \returns the number of queued bytes not yet written to the socket. */
+  /** \returns the number of queued bytes not yet written to the socket,
+   * including those of earlier responses of the connection. */
   virtual base::ByteCount PendingBytes() const = 0;
 
   /** Installs the observer. Earlier body events are delivered to it. */
@@ -63,7 +75,8 @@
   /** Ends the response. \pre the body sent has the length given in the head */
   virtual void Finish() = 0;
   /** Closes the connection, so that the caller doesn't mistake a partial
-   * response for a complete one. */
+   * response for a complete one. Earlier requests of the connection are
+   * answered first. */
   virtual void Abort() = 0;
 
   /** Sends a complete response. \pre SendHead() was not called */
@@ -95,18 +108,20 @@
    * aConnectionObserver is optional and must outlive the server.
    */
   Server(Loop& aLoop, const Endpoint& aListen, Handler aHandler,
-         ConnectionObserver* aConnectionObserver = nullptr);
+         ConnectionObserver* aConnectionObserver = nullptr,
+         ServerOptions aOptions = {});
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
   /** \returns whether the address could be bound. */
   bool IsListening() const;
-  /** \returns the number of connections with an open request. */
+  /** \returns the number of open requests. */
   std::size_t ActiveExchanges() const;
   /**
-   * Asks callers to reconnect: every response from now on carries
-   * `Connection: close`.
+   * Asks callers to reconnect: the response to the last request that was read
+   * on a connection carries `Connection: close`, and so does every response to
+   * a later one.
    */
   void CloseAfterResponses();
   /** Closes the connections without an open request. */
--- a/packages/http/src/ServerExchangeImpl.cpp
+++ b/packages/http/src/ServerExchangeImpl.cpp
@@ -1,3 +1,5 @@
+#include "http/src/ServerExchangeImpl.h"
+
 #include "http/src/HttpServerConnection.h"
 
 #include <cassert>
@@ -57,8 +59,8 @@
 
 base::ByteCount ServerExchangeImpl::PendingBytes() const
 {
-  return base::ByteCount(mConnection == nullptr ? 0
-                                                : mConnection->PendingBytes());
+  return base::ByteCount(
+    mConnection == nullptr ? 0 : mConnection->PendingBytes(*this));
 }
 
 void ServerExchangeImpl::Observe(std::unique_ptr<RequestObserver> aObserver)
@@ -116,18 +118,57 @@
   if (mClosesAfter) {
     AppendField(out, { "connection", "close" });
   }
+  mFieldsEnd = mWaiting.size() + out.size();
   out += "\r\n";
-  mConnection->Queue(out);
-  mConnection->FlushSoon();
+  Write(out);
+  FlushSoon();
+}
+
+void ServerExchangeImpl::CloseAfterResponse()
+{
+  if (!std::exchange(mClosesAfter, true) && mIsHeadSent && !mHasTurn) {
+    std::string field;
+    AppendField(field, { "connection", "close" });
+    mWaiting.insert(mFieldsEnd, field);
+  }
+}
+
+void ServerExchangeImpl::Write(std::string_view aBytes)
+{
+  if (mHasTurn) {
+    mConnection->Queue(aBytes);
+  } else {
+    mWaiting += aBytes;
+  }
+}
+
+void ServerExchangeImpl::FlushSoon()
+{
+  if (mHasTurn) {
+    mConnection->FlushSoon();
+  }
+}
+
+void ServerExchangeImpl::HandleTurn()
+{
+  mHasTurn = true;
+  const std::string waiting = std::exchange(mWaiting, {});
+  mConnection->Queue(waiting);
+}
+
+void ServerExchangeImpl::SendContinue()
+{
+  Write("HTTP/1.1 100 Continue\r\n\r\n");
+  FlushSoon();
 }
 
 void ServerExchangeImpl::AppendChunk(std::string_view aPart)
 {
   char buf[24];
   const int n = std::snprintf(buf, sizeof buf, "%zx\r\n", aPart.size());
-  mConnection->Queue({ buf, static_cast<std::size_t>(n) });
-  mConnection->Queue(aPart);
-  mConnection->Queue("\r\n");
+  Write({ buf, static_cast<std::size_t>(n) });
+  Write(aPart);
+  Write("\r\n");
 }
 
 void ServerExchangeImpl::SendBody(std::string_view aPart)
@@ -139,9 +180,9 @@
   if (mIsChunked) {
     AppendChunk(aPart);
   } else {
-    mConnection->Queue(aPart);
+    Write(aPart);
   }
-  mConnection->FlushSoon();
+  FlushSoon();
 }
 
 void ServerExchangeImpl::Finish()
@@ -154,9 +195,9 @@
   mIsWaitingForObserver = false;
   mIsPaused = false;
   if (mIsChunked && mHead.mMethod != "HEAD") {
-    mConnection->Queue("0\r\n\r\n");
+    Write("0\r\n\r\n");
   }
-  mConnection->FlushSoon();
+  FlushSoon();
   if (!mIsBodyEnded) {
     mConnection->ReadSoon(); // reads and discards the rest of the body
   }
@@ -165,7 +206,7 @@
 void ServerExchangeImpl::Abort()
 {
   if (mConnection != nullptr) {
-    mConnection->Close();
+    mConnection->Abort(*this);
   }
 }
 
--- a/packages/http/test/support/LoopbackSocket.h
+++ b/packages/http/test/support/LoopbackSocket.h
@@ -3,6 +3,7 @@
 #include "base/Base.h"
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -66,6 +67,17 @@
     return send(mDescriptor, aBytes.data(), aBytes.size(), MSG_NOSIGNAL) ==
            static_cast<ssize_t>(aBytes.size());
   }
+  /** Appends the bytes that have arrived to \a aOut, without waiting for more.
+   * \returns whether the connection is still open. */
+  bool ReadAvailable(std::string& aOut) const
+  {
+    char buf[4096];
+    ssize_t n = 0;
+    while ((n = recv(mDescriptor, buf, sizeof buf, MSG_DONTWAIT)) > 0) {
+      aOut.append(buf, static_cast<std::size_t>(n));
+    }
+    return n < 0 && errno == EAGAIN;
+  }
   /** \returns the bytes received until the connection ends, and whether it
    * ended gracefully instead of with an error such as a reset. */
   std::pair<std::string, bool> ReadToEnd() const
