Entry: run idempotent requests behind unanswered ones

Cause: short reads that a client sends before earlier ones are answered were run one after the other. Change: the front passes the server a predicate that holds for routes of idempotent requests, and counts the requests by whether they ran early. Tested: PipelinedPathTest: two reads run at once, a request that may run only once waits, all attempts end within 0.5 s when the client leaves, and a planned stop answers what was read.

--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -81,6 +81,10 @@
   void RecordLoopLateness();
   void OnTick();
   void OnRequest(const std::shared_ptr<http::ServerExchange>& aExchange);
+  /** \returns whether a request may run while earlier ones of its connection
+   * are unanswered. Clients send those behind a closed connection again,
+   * whatever their kind. */
+  bool MayRunEarly(const http::RequestHead& aHead);
   void OnMessage(const protocol::Envelope& aEnvelope);
   void OnLeavingAnnounced(const base::UpstreamId& aUpstream,
                           base::TimePoint aSentAt);
@@ -202,7 +206,10 @@
   , mFront(aLoop, mSettings.mFront,
            [this](const std::shared_ptr<http::ServerExchange>& aExchange) {
              OnRequest(aExchange);
-           })
+           },
+           nullptr, { [this](const http::RequestHead& aHead) {
+             return MayRunEarly(aHead);
+           } })
 {
   mTick = mLoop.Every(kTick, [this] { OnTick(); });
   mCountTimer = mLoop.Every(kHostCountInterval, [this] {
@@ -224,6 +231,16 @@
   std::make_shared<RequestForwarder>(mServices, aExchange)->Start();
 }
 
+bool EntryNode::Impl::MayRunEarly(const http::RequestHead& aHead)
+{
+  const auto route = mServices.mRoutes.Find(
+    aHead.mHeaders.Find("host").value_or(std::string_view()), aHead.mPath);
+  const bool mayRun = route && route->mKind == routing::RequestKind::Idempotent;
+  mMetrics.Count("auburnmux_pipelined_requests_total",
+                 { { "start", mayRun ? "early" : "in_turn" } });
+  return mayRun;
+}
+
 void EntryNode::Impl::OnLeavingAnnounced(const base::UpstreamId& aUpstream,
                                          base::TimePoint aSentAt)
 {
