http: count the bytes queued to clients and servers

Cause: a queue to a client that doesn't read was bounded by its user alone, and the kernel took up to some megabytes for such a client. The sent part of a queue that never became empty stayed in memory, without bound. Change: TcpStream counts its queue in an account, frees the sent part when it exceeds the rest, and frees the queue on Close(). A server with an account bounds the kernel's unsent bytes per client to 128 KB, reports the clients that have not read all with their last progress, and closes one on request by a reset. Servers and clients without an account behave as before, but for the freed part.

--- a/packages/buffering/src/HoldPolicy.h
+++ b/packages/buffering/src/HoldPolicy.h
@@ -13,10 +13,11 @@
 {
   /** Bound of all exchanges together. */
   base::ByteCount mHostBound{ std::uint64_t{ 32 } << 20U };
-  /** Bound of the response of one exchange while the host holds little. */
-  base::ByteCount mResponseBound{ std::uint64_t{ 256 } << 10U };
-  /** Same for a request body. It is buffered whole up to this size, so that it
-   * can be sent again. */
+  /** Bound of what one exchange holds of its response, or of a request body
+   * that is sent while it arrives, while the host holds little. */
+  base::ByteCount mExchangeBound{ std::uint64_t{ 256 } << 10U };
+  /** Same for a request body that is buffered whole, so that it can be sent
+   * again. */
   base::ByteCount mBodyBound{ std::uint64_t{ 1 } << 20U };
   /** Bound of either when the host holds as much as it may. */
   base::ByteCount mMinBound{ std::uint64_t{ 16 } << 10U };
@@ -44,12 +45,13 @@
 public:
   explicit HoldPolicy(const HoldSettings& aSettings);
 
-  /** \returns how much of a response an exchange may hold now. */
-  base::ByteCount ResponseBound(base::ByteCount aTotal) const
+  /** \returns how much an exchange may hold now of a response or of a body that
+   * is sent while it arrives. */
+  base::ByteCount ExchangeBound(base::ByteCount aTotal) const
   {
-    return Scale(mSettings.mResponseBound, aTotal);
+    return Scale(mSettings.mExchangeBound, aTotal);
   }
-  /** \returns how much of a request body an exchange may hold now. */
+  /** \returns up to which size a request body is buffered whole now. */
   base::ByteCount BodyBound(base::ByteCount aTotal) const
   {
     return Scale(mSettings.mBodyBound, aTotal);
--- a/packages/buffering/test/HoldPolicyTest.cpp
+++ b/packages/buffering/test/HoldPolicyTest.cpp
@@ -42,19 +42,19 @@
 // holds little, and one that holds more for each when it is full.
 TEST(HoldPolicy, BoundsOfAnExchangeShrinkToTheMinimum)
 {
-  CHECK_TRUE(mPolicy.ResponseBound(Kilobytes(500)) == Kilobytes(256));
+  CHECK_TRUE(mPolicy.ExchangeBound(Kilobytes(500)) == Kilobytes(256));
   CHECK_TRUE(mPolicy.BodyBound(Kilobytes(500)) == Kilobytes(1024));
-  CHECK_TRUE(mPolicy.ResponseBound(Kilobytes(750)) == Kilobytes(136));
-  CHECK_TRUE(mPolicy.ResponseBound(Kilobytes(1000)) == Kilobytes(16));
+  CHECK_TRUE(mPolicy.ExchangeBound(Kilobytes(750)) == Kilobytes(136));
+  CHECK_TRUE(mPolicy.ExchangeBound(Kilobytes(1000)) == Kilobytes(16));
   CHECK_TRUE(mPolicy.BodyBound(Kilobytes(5000)) == Kilobytes(16));
   CHECK_PROPERTY(
     "a bound never rises with the total",
     [this](std::uint32_t aOne, std::uint32_t aOther) {
       const base::ByteCount less(std::min(aOne, aOther) % (2 * kHostBound));
       const base::ByteCount more(less.Count() + aOther % kHostBound);
-      RC_ASSERT(mPolicy.ResponseBound(more) <= mPolicy.ResponseBound(less));
+      RC_ASSERT(mPolicy.ExchangeBound(more) <= mPolicy.ExchangeBound(less));
       RC_ASSERT(mPolicy.BodyBound(more) <= mPolicy.BodyBound(less));
-      RC_ASSERT(mPolicy.ResponseBound(more) >= Kilobytes(16));
+      RC_ASSERT(mPolicy.ExchangeBound(more) >= Kilobytes(16));
     });
 }
 
@@ -108,7 +108,7 @@
     for (int time = 0; time < 10000; time += 250) {
       for (auto& [id, it] : open) {
         for (int n = 0; n < 8; ++n) {
-          if (mPolicy.ResponseBound(account->Total()).Count() >= it.mHeld) {
+          if (mPolicy.ExchangeBound(account->Total()).Count() >= it.mHeld) {
             it.mHeld += kPart;
             it.mHolding->Set(it.mHeld);
           }
--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "buffering/Buffering.h"
 #include "http/src/Loop.h"
 #include "http/src/Message.h"
 
@@ -142,6 +143,8 @@
   /** Unanswered probes, one second apart, after which a connection is closed.
    */
   std::uint32_t mMaxProbes = 3;
+  /** Counts the bytes queued to servers; null if nothing does. */
+  std::shared_ptr<buffering::HeldBytes> mAccount;
 
   /** \returns the time after which a connection is closed whose peer has
    * become silent. Linux waits for mUnacknowledgedTimeout in any case. */
--- a/packages/http/src/HttpClientConnection.cpp
+++ b/packages/http/src/HttpClientConnection.cpp
@@ -63,7 +63,7 @@
   , mOwner(aOwner)
   , mEndpoint(std::move(aEndpoint))
   , mOptions(aOptions)
-  , mStream(aLoop, *this)
+  , mStream(aLoop, *this, aOptions.mAccount, buffering::Receiver::Upstream)
   , mIdleLimit(std::min(aOptions.mMaxIdle, aOptions.mDefaultMaxIdle))
 {
 }
--- a/packages/http/src/HttpServerConnection.cpp
+++ b/packages/http/src/HttpServerConnection.cpp
@@ -20,7 +20,8 @@
 HttpServerConnection::HttpServerConnection(Owner& aOwner, int aDescriptor,
                                            std::string aClientAddress)
   : mOwner(aOwner)
-  , mStream(aOwner.EventLoop(), *this)
+  , mStream(aOwner.EventLoop(), *this, aOwner.Account(),
+            buffering::Receiver::Client)
   , mDescriptor(aDescriptor)
   , mClientAddress(std::move(aClientAddress))
   , mPhaseStart(aOwner.EventLoop().Now())
@@ -64,6 +65,26 @@
   mOwner.OnConnectionClosed(*this);
 }
 
+void HttpServerConnection::CloseDiscardingUnread()
+{
+  if (mStream.IsOpen()) {
+    mStream.DiscardOnClose();
+    Close();
+  }
+}
+
+std::optional<buffering::HeldClient> HttpServerConnection::SampleProgress(
+  base::TimePoint aNow)
+{
+  if (!mStream.IsOpen() || mStream.PendingBytes() == 0) {
+    mProgress.Reset();
+    return std::nullopt;
+  }
+  return buffering::HeldClient{ base::ByteCount(mStream.PendingBytes()),
+                                mProgress.OnSample(
+                                  aNow, mStream.AcknowledgedBytes()) };
+}
+
 void HttpServerConnection::OnReady(SocketReadiness aReadiness)
 {
   const auto self = shared_from_this();
--- a/packages/http/src/HttpServerConnection.h
+++ b/packages/http/src/HttpServerConnection.h
@@ -81,6 +81,8 @@
     virtual ~Owner() = default;
     virtual Loop& EventLoop() = 0;
     virtual const ServerLimits& Limits() const = 0;
+    /** \returns the account of the bytes queued to clients; null if none. */
+    virtual std::shared_ptr<buffering::HeldBytes> Account() const = 0;
     virtual bool ClosesAfterResponses() const = 0;
     virtual void OnRequest(const std::shared_ptr<ServerExchangeImpl>&) = 0;
     /** The connection's socket is closed. */
@@ -102,6 +104,12 @@
   int Descriptor() const { return mDescriptor; }
   /** Closes the connection and ends its exchange, if any, as incomplete. */
   void Close();
+  /** Same, and discards what the client has not read. */
+  void CloseDiscardingUnread();
+  /** Samples the progress of the client. \returns none while it has read all
+   */
+  std::optional<buffering::HeldClient> SampleProgress(base::TimePoint aNow);
+  const std::string& ClientAddress() const { return mClientAddress; }
 
   void OnReady(SocketReadiness aReadiness) override;
   void OnBodyPart(std::string_view aPart) override;
@@ -133,6 +141,7 @@
   TcpStream mStream;
   int mDescriptor;
   std::string mClientAddress;
+  buffering::ReadProgress mProgress;
   std::string mInput;
   std::size_t mInputStart = 0;
   std::unique_ptr<RequestReader> mReader;
--- a/packages/http/src/Server.cpp
+++ b/packages/http/src/Server.cpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <unordered_map>
@@ -22,6 +23,12 @@
 // How often connections are checked for timeouts.
 constexpr base::Duration kCheckPeriod = std::chrono::milliseconds(250);
 
+// Maximum unsent bytes that the kernel takes for one client. Without it, the
+// kernel takes up to several megabytes for a client that doesn't read. At 200
+// Mbit/s, the widest link of a host, it lasts for 5 ms, in which more is
+// written.
+constexpr int kMaxUnsentBytes = 131072;
+
 std::string PeerAddress(int aDescriptor)
 {
   sockaddr_in address{};
@@ -49,6 +56,10 @@
 
   Loop& EventLoop() override { return mLoop; }
   const ServerLimits& Limits() const override { return mLimits; }
+  std::shared_ptr<buffering::HeldBytes> Account() const override
+  {
+    return mAccount;
+  }
   bool ClosesAfterResponses() const override { return mClosesAfterResponses; }
   void OnRequest(const std::shared_ptr<ServerExchangeImpl>& aExchange) override
   {
@@ -65,6 +76,7 @@
   Handler mHandler;
   ConnectionObserver* mObserver;
   ServerLimits mLimits;
+  std::shared_ptr<buffering::HeldBytes> mAccount;
   std::unique_ptr<Listener> mListener;
   Loop::TimerId mCheckTimer;
   bool mClosesAfterResponses = false;
@@ -91,6 +103,10 @@
     close(aDescriptor);
     return;
   }
+  if (mAccount) {
+    setsockopt(aDescriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &kMaxUnsentBytes,
+               sizeof kMaxUnsentBytes);
+  }
   auto connection = std::make_shared<HttpServerConnection>(
     *this, aDescriptor, PeerAddress(aDescriptor));
   mConnections.emplace(connection.get(), connection);
@@ -181,4 +197,32 @@
   mImpl->mLimits = aLimits;
 }
 
+void Server::CountHeldBytes(std::shared_ptr<buffering::HeldBytes> aAccount)
+{
+  mImpl->mAccount = std::move(aAccount);
+}
+
+std::vector<SlowReader> Server::SampleReaders()
+{
+  std::vector<SlowReader> readers;
+  const base::TimePoint now = mImpl->mLoop.Now();
+  for (const auto& [key, connection] : mImpl->mConnections) {
+    if (const auto held = connection->SampleProgress(now)) {
+      readers.push_back(
+        { connection->Descriptor(), connection->ClientAddress(), *held });
+    }
+  }
+  return readers;
+}
+
+void Server::CloseReader(const SlowReader& aReader)
+{
+  for (const auto& it : mImpl->Connections()) {
+    if (it->Descriptor() == aReader.mDescriptor) {
+      it->CloseDiscardingUnread();
+      return;
+    }
+  }
+}
+
 } // namespace auburnmux::http
--- a/packages/http/src/Server.h
+++ b/packages/http/src/Server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "buffering/Buffering.h"
 #include "http/src/Loop.h"
 #include "http/src/Message.h"
 
@@ -7,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace auburnmux::http {
 
@@ -70,6 +72,15 @@
   void Respond(int aStatus, Headers aHeaders, std::string_view aBody);
 };
 
+/** A client that has not read all of what a Server queued for it. */
+struct SlowReader
+{
+  /** Descriptor of its connection. */
+  int mDescriptor = -1;
+  std::string mAddress;
+  buffering::HeldClient mHeld;
+};
+
 /** Observes when connections of a Server are opened and closed. */
 class ConnectionObserver
 {
@@ -116,6 +127,14 @@
   /** Sets the limits. Those of sizes apply to requests that begin later, those
    * of times at once. */
   void SetLimits(const ServerLimits& aLimits);
+  /** Counts the bytes queued to clients in \a aAccount, and bounds those that
+   * the kernel holds unsent, for connections that are opened from now on. */
+  void CountHeldBytes(std::shared_ptr<buffering::HeldBytes> aAccount);
+  /** Samples the progress of all clients. \returns those that have not read
+   * all */
+  std::vector<SlowReader> SampleReaders();
+  /** Closes a client's connection and discards what it has not read. */
+  void CloseReader(const SlowReader& aReader);
 
 private:
   struct Impl;
--- a/packages/http/src/TcpStream.cpp
+++ b/packages/http/src/TcpStream.cpp
@@ -10,6 +10,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace auburnmux::http::internal {
 
@@ -18,6 +19,10 @@
 // Maximum capacity that an empty send buffer retains.
 constexpr std::size_t kMaxIdleBufferBytes = 4096;
 
+// Sent bytes that a send buffer may keep beside as many unsent ones. Below, it
+// costs less to keep them than to copy the rest.
+constexpr std::size_t kMaxSentBytesKept = 65536;
+
 std::optional<sockaddr_in> ToSocketAddress(const std::string& aAddress,
                                            std::uint16_t aPort)
 {
@@ -54,9 +59,12 @@
 
 } // namespace
 
-TcpStream::TcpStream(Loop& aLoop, SocketWatcher& aWatcher)
+TcpStream::TcpStream(Loop& aLoop, SocketWatcher& aWatcher,
+                     std::shared_ptr<buffering::HeldBytes> aAccount,
+                     buffering::Receiver aReceiver)
   : mLoop(aLoop)
   , mWatcher(aWatcher)
+  , mHolding(std::move(aAccount), aReceiver)
 {
 }
 
@@ -133,27 +141,44 @@
                            PendingBytes(), MSG_NOSIGNAL);
     if (n < 0) {
       mIsBroken = errno != EAGAIN && errno != EINTR;
+      DropSent();
       return !mIsBroken;
     }
     mHasSent = mHasSent || n > 0;
     mOutputStart += static_cast<std::size_t>(n);
+    mSentBytes += static_cast<std::uint64_t>(n);
   }
   mOutput.clear();
   mOutputStart = 0;
   if (mOutput.capacity() > kMaxIdleBufferBytes) {
     mOutput.shrink_to_fit();
   }
+  mHolding.Set(0);
   return true;
 }
 
+void TcpStream::DropSent()
+{
+  if (mOutputStart >= kMaxSentBytesKept && mOutputStart >= PendingBytes()) {
+    mOutput = mOutput.substr(mOutputStart);
+    mOutputStart = 0;
+    mHolding.Set(mOutput.size());
+  }
+}
+
 std::size_t TcpStream::UnacknowledgedBytes() const
+{
+  return PendingBytes() + UnacknowledgedSentBytes();
+}
+
+std::size_t TcpStream::UnacknowledgedSentBytes() const
 {
   int n = 0;
   if (mDescriptor >= 0 && ioctl(mDescriptor, SIOCOUTQ, &n) != 0) {
     base::LogWarning(base::LogLine("unacknowledged_unknown")
                        .With("error", std::strerror(errno)));
   }
-  return PendingBytes() + static_cast<std::size_t>(n);
+  return static_cast<std::size_t>(n);
 }
 
 void TcpStream::ShutdownSending()
@@ -164,18 +189,26 @@
 void TcpStream::CloseDiscardingUnacknowledged()
 {
   if (UnacknowledgedBytes() > 0) {
-    const linger discard{ 1, 0 };
-    setsockopt(mDescriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+    DiscardOnClose();
   }
   Close();
 }
 
+void TcpStream::DiscardOnClose()
+{
+  const linger discard{ 1, 0 };
+  setsockopt(mDescriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+}
+
 void TcpStream::Close()
 {
   if (mDescriptor >= 0) {
     mLoop.Release(mDescriptor);
     close(mDescriptor);
     mDescriptor = -1;
+    mOutput = {};
+    mOutputStart = 0;
+    mHolding.Set(0);
   }
 }
 
--- a/packages/http/src/TcpStream.h
+++ b/packages/http/src/TcpStream.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "buffering/Buffering.h"
 #include "http/src/Loop.h"
 #include "http/src/Message.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -43,7 +45,10 @@
     Broken
   };
 
-  TcpStream(Loop& aLoop, SocketWatcher& aWatcher);
+  /** \param aAccount counts the queued bytes; null if nothing does */
+  TcpStream(Loop& aLoop, SocketWatcher& aWatcher,
+            std::shared_ptr<buffering::HeldBytes> aAccount = nullptr,
+            buffering::Receiver aReceiver = buffering::Receiver::Client);
   ~TcpStream();
   TcpStream(const TcpStream&) = delete;
   TcpStream& operator=(const TcpStream&) = delete;
@@ -72,7 +77,11 @@
   /** Reads at most kMaxReadBytes and appends them to \a aOut. */
   ReadResult Read(std::string& aOut);
   /** Queues bytes; Flush() sends them. */
-  void Queue(std::string_view aBytes) { mOutput += aBytes; }
+  void Queue(std::string_view aBytes)
+  {
+    mOutput += aBytes;
+    mHolding.Set(mOutput.size());
+  }
   /** Sends queued bytes until the socket would block. \returns false if the
    * connection broke. */
   bool Flush();
@@ -81,6 +90,11 @@
   /** \returns the number of bytes, queued ones included, that the peer's kernel
    * has not acknowledged. */
   std::size_t UnacknowledgedBytes() const;
+  /** \returns the number of bytes that the peer's kernel has acknowledged. */
+  std::uint64_t AcknowledgedBytes() const
+  {
+    return mSentBytes - UnacknowledgedSentBytes();
+  }
   /** \returns whether any byte was sent since ResetHasSent(). */
   bool HasSent() const { return mHasSent; }
   void ResetHasSent() { mHasSent = false; }
@@ -90,13 +104,24 @@
   /** Closes the connection. Bytes that the peer has not acknowledged are
    * discarded by a reset instead of being delivered later. */
   void CloseDiscardingUnacknowledged();
+  /** Makes Close() discard what the peer has not acknowledged. */
+  void DiscardOnClose();
 
 private:
+  /** \returns the number of sent bytes that are not acknowledged. */
+  std::size_t UnacknowledgedSentBytes() const;
+  /** Frees the sent part of a buffer that could not be sent at once. */
+  void DropSent();
+
   Loop& mLoop;
   SocketWatcher& mWatcher;
   int mDescriptor = -1;
   std::string mOutput;
   std::size_t mOutputStart = 0;
+  /** Counts mOutput, of which the sent part is still in memory. */
+  buffering::Holding mHolding;
+  /** Bytes written to the socket since it was opened. */
+  std::uint64_t mSentBytes = 0;
   bool mHasSent = false;
   bool mIsHungUp = false;
   /** Whether a call failed. The kernel reports an error once; later reads look
