carriage: count a buffered body and let its bound shrink

Cause: up to 1 MB of each request body is buffered, for any number of requests. Change: RequestBody counts what it holds, its bound can be lowered while the body arrives, and Release() frees it when no further attempt begins. The prefix that identifies a body streamed because of a lowered bound has a constant length, so that a repeated request is recognised. Refusal reason MemoryLimit.

--- a/packages/carriage/src/RequestAction.h
+++ b/packages/carriage/src/RequestAction.h
@@ -17,6 +17,8 @@
   NoCapacity,
   NoUpstream,
   NoBudget,
+  /** The request's body is large, and this host holds as much as it may. */
+  MemoryLimit,
   /** The request is blocked because it crashed upstreams before. */
   Quarantined,
   Stopping,
--- a/packages/carriage/src/RequestBody.h
+++ b/packages/carriage/src/RequestBody.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "buffering/Buffering.h"
+
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -29,9 +32,16 @@
     Forward
   };
 
-  /** \param aMaxBuffered longest body that can be sent again, in bytes */
-  explicit RequestBody(std::size_t aMaxBuffered);
+  /**
+   * \param aMaxBuffered longest body that can be sent again, in bytes
+   * \param aAccount counts what is held; null if nothing does
+   */
+  explicit RequestBody(
+    std::size_t aMaxBuffered,
+    std::shared_ptr<buffering::HeldBytes> aAccount = nullptr);
 
+  /** Sets how much is buffered from now on, at most the maximum. */
+  void SetBound(std::size_t aBound);
   Arrival OnPart(std::string_view aPart);
   void OnEnd() { mIsComplete = true; }
   /** An attempt begins. \returns what has arrived so far and is to be sent to
@@ -39,6 +49,8 @@
   std::string OnAttemptBegins();
   /** The attempt takes no more parts. */
   void OnAttemptEnded() { mHasAttempt = false; }
+  /** Frees what is held. No further attempt begins. */
+  void Release();
 
   /** \returns whether the whole body has arrived. */
   bool IsComplete() const { return mIsComplete; }
@@ -52,12 +64,14 @@
   /** \returns the size of what is held. */
   std::size_t Size() const { return mHeld.size(); }
   /** \returns the first bytes of the body, which identify it: all of a body
-   * that is not streamed, and as many as are buffered of others. */
+   * that is not streamed, and of others as many as fit the bound. */
   std::string_view Prefix() const;
 
 private:
   std::size_t mMaxBuffered;
+  std::size_t mBound;
   std::string mHeld;
+  buffering::Holding mHolding;
   bool mIsComplete = false;
   bool mIsStreamed = false;
   bool mWasSent = false;
--- a/packages/carriage/src/RequestStateMachine.cpp
+++ b/packages/carriage/src/RequestStateMachine.cpp
@@ -26,6 +26,8 @@
       return "no_upstream";
     case Reason::NoBudget:
       return "no_budget";
+    case Reason::MemoryLimit:
+      return "memory_limit";
     case Reason::Quarantined:
       return "quarantined";
     case Reason::Stopping:
--- a/packages/carriage/test/RequestBodyTest.cpp
+++ b/packages/carriage/test/RequestBodyTest.cpp
@@ -26,7 +26,9 @@
 struct Exchange
 {
   base::Random mRandom;
-  RequestBody mBody{ kMaxBuffered };
+  std::shared_ptr<buffering::HeldBytes> mAccount =
+    std::make_shared<buffering::HeldBytes>();
+  RequestBody mBody{ kMaxBuffered, mAccount };
   std::string mSent;
   /** What the current attempt has received. */
   std::optional<std::string> mReceived;
@@ -49,6 +51,7 @@
       it = static_cast<char>('a' + mRandom.Below(26));
     }
     mSent += part;
+    mBody.SetBound(mRandom.Below(2 * kMaxBuffered));
     switch (mBody.OnPart(part)) {
       case RequestBody::Arrival::Forward:
         *mReceived += part;
@@ -115,7 +118,10 @@
         RC_ASSERT(*exchange.mReceived == exchange.mSent);
       }
       RC_ASSERT(exchange.mBody.Size() <= kMaxHeld);
+      RC_ASSERT(exchange.mAccount->Total().Count() == exchange.mBody.Size());
     }
+    exchange.mBody.Release();
+    RC_ASSERT(exchange.mAccount->Total().Count() == 0U);
   });
 }
 
@@ -143,3 +149,17 @@
   other.OnPart(std::string(60, 'y'));
   CHECK_TRUE(one.Prefix() == other.Prefix());
 }
+
+// Guards against a body that is taken for another one when it is repeated, as
+// the host held other amounts for other requests meanwhile.
+TEST(RequestBody, PrefixDoesNotDependOnTheLoweredBound)
+{
+  RequestBody one(1000000);
+  one.SetBound(20000);
+  one.OnPart(std::string(20001, 'x'));
+  RequestBody other(1000000);
+  other.SetBound(90000);
+  other.OnPart(std::string(100000, 'x'));
+  CHECK_TRUE(one.IsStreamed() && other.IsStreamed());
+  CHECK_TRUE(one.Prefix() == other.Prefix());
+}
