placing: bound the request bodies in flight to an upstream

Cause: nothing bounded the bytes that a host had queued for one upstream, so an upstream that reads slowly kept the bodies of all its slots in the host. Change: a candidate takes a request only if the bodies in flight to it stay within 4 MB, or if there are none; others are preferred, and the request waits if there is no other. Requests without a body are not limited. Tested: test_placing, 40 tests, two of them new.

--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -232,11 +232,13 @@
   }
   Upstream& upstream = *best.mUpstream;
   if (!best.mHasCapacity) {
-    ++upstream.mQueued;
+    // A request that waits for others' bodies needs no slot yet.
+    upstream.mQueued += best.mFitsBody ? 1 : 0;
     return Wait{ upstream.mSpec.mId, best.mWork + RoundTrip(upstream),
                  mWorkEstimates.IsKnown(aRequest.mKind) };
   }
   upstream.mTracker.OnSent(aNow);
+  upstream.mBodyInFlight += aRequest.mBody;
   mShiftLimiter.OnPlaced(aNow, upstream.mSpec.mRegion != mRegion);
   if (upstream.mColdUntil > aNow && upstream.mSpec.mColdRate > 0) {
     upstream.mColdTokens.Take(aNow);
@@ -264,6 +266,9 @@
   if (upstream == nullptr || upstream->mTracker.OwnRequests() == 0) {
     return; // the upstream was removed, or added anew since
   }
+  SetBodyInFlight(aResult.mUpstream,
+                  aResult.mBodyInFlight.value_or(aRequest.mBody),
+                  base::ByteCount(0));
   std::optional<base::Duration> work;
   if (aResult.mElapsed && (aResult.mOutcome == Outcome::Answered ||
                            aResult.mOutcome == Outcome::Replaced)) {
@@ -291,6 +296,31 @@
   RecordLoad(aNow, *upstream, aResult);
 }
 
+void Placement::SetBodyInFlight(const base::UpstreamId& aId,
+                                base::ByteCount aBefore, base::ByteCount aNow)
+{
+  if (Upstream* upstream = Find(aId)) {
+    // An upstream that was added anew counts no bodies of earlier requests.
+    upstream->mBodyInFlight -= std::min(upstream->mBodyInFlight, aBefore);
+    upstream->mBodyInFlight += aNow;
+  }
+}
+
+base::ByteCount Placement::BodyInFlight(const base::UpstreamId& aId) const
+{
+  const auto it = mUpstreams.find(aId);
+  return it == mUpstreams.end() ? base::ByteCount(0)
+                                : it->second->mBodyInFlight;
+}
+
+bool Placement::FitsBody(const Upstream& aUpstream,
+                         const PlaceRequest& aRequest) const
+{
+  const base::ByteCount none(0);
+  return aRequest.mBody == none || aUpstream.mBodyInFlight == none ||
+         aUpstream.mBodyInFlight + aRequest.mBody <= mSettings.mMaxBodyInFlight;
+}
+
 void Placement::RecordLoad(base::TimePoint aNow, Upstream& aUpstream,
                            const PlacedResult& aResult)
 {
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -52,6 +52,8 @@
   base::Duration mTimeLeft{};
   /** Size of the request and its response. */
   base::ByteCount mBytes;
+  /** Size of its body, as far as is known. */
+  base::ByteCount mBody;
   /** Regions that may handle it; empty allows all. */
   std::vector<base::RegionId> mAllowedRegions;
   /** Whether Place() was called for it before. */
@@ -144,6 +146,9 @@
   /** Work time that was expected, see Placed. */
   base::Duration mExpectedWork{};
   std::optional<LoadReport> mReport;
+  /** Bytes of its body that are still counted as in flight; the whole body if
+   * unset. */
+  std::optional<base::ByteCount> mBodyInFlight;
 };
 
 /**
@@ -217,6 +222,13 @@
   void OnResult(base::TimePoint aNow, const PlaceRequest& aRequest,
                 const PlacedResult& aResult);
 
+  /** Changes how many bytes of a placed request's body are in flight to its
+   * upstream; at first all are. */
+  void SetBodyInFlight(const base::UpstreamId& aId, base::ByteCount aBefore,
+                       base::ByteCount aNow);
+  /** \returns the bytes of request bodies in flight to the upstream. */
+  base::ByteCount BodyInFlight(const base::UpstreamId& aId) const;
+
   /** \returns paused upstreams whose health check is due, and schedules their
    * next one. */
   std::vector<base::UpstreamId> DueHealthChecks(base::TimePoint aNow);
@@ -249,6 +261,8 @@
     std::optional<NamedLimit> mLimit;
     /** Until when it wants no requests of this host. */
     base::TimePoint mRefusesUntil;
+    /** Bytes of request bodies of this host that it has not taken yet. */
+    base::ByteCount mBodyInFlight;
   };
   struct Candidate
   {
@@ -258,6 +272,9 @@
     base::Duration mExpected{};
     base::Duration mWork{};
     bool mHasCapacity = false;
+    /** Whether the bodies in flight to it leave room for that of the request.
+     */
+    bool mFitsBody = true;
     /** Whether the upstream's limit doesn't allow another request now. */
     bool mIsLimited = false;
     /** Whether the response is expected too late to send the request. */
@@ -317,6 +334,7 @@
   /** Records what the end of a request tells about the load. */
   void RecordLoad(base::TimePoint aNow, Upstream& aUpstream,
                   const PlacedResult& aResult);
+  bool FitsBody(const Upstream& aUpstream, const PlaceRequest& aRequest) const;
   base::Duration RoundTrip(const Upstream& aUpstream) const;
   base::Duration TransferCost(const Upstream& aUpstream,
                               base::ByteCount aBytes) const;
--- a/packages/placing/src/PlacementCosts.cpp
+++ b/packages/placing/src/PlacementCosts.cpp
@@ -101,8 +101,9 @@
   const base::Duration wait = std::max(
     limitWait, tracker.ExpectedWait(aNow, loadFallback, aUpstream.mQueued));
   candidate.mIsLimited = limitWait > base::Duration::zero();
-  candidate.mHasCapacity =
-    !candidate.mIsLimited && tracker.HasCapacity(aNow, loadFallback);
+  candidate.mFitsBody = FitsBody(aUpstream, aRequest);
+  candidate.mHasCapacity = candidate.mFitsBody && !candidate.mIsLimited &&
+                           tracker.HasCapacity(aNow, loadFallback);
   candidate.mWork = Scale(work, tracker.Slowness(aNow));
   candidate.mExpected =
     RoundTrip(aUpstream) + wait +
@@ -151,6 +152,8 @@
   const bool mayLeave = mShiftLimiter.MayLeaveRegion(aNow);
   const bool mayStay = mShiftLimiter.MayStayInRegion(aNow);
   Candidate best;
+  // The best of the upstreams that can't take the request's body yet.
+  Candidate blocked;
   Candidate fallback;
   for (Upstream* it : aService.mUpstreams) {
     if (!IsUsable(aNow, *it, aRequest)) {
@@ -171,12 +174,17 @@
       it->mSpec.mRegion == mRegion
         ? mayStay
         : mayLeave && (mayStay || candidate.mHasCapacity);
-    Candidate& group = isWithinShiftLimit ? best : fallback;
+    Candidate& group = !isWithinShiftLimit   ? fallback
+                       : candidate.mFitsBody ? best
+                                             : blocked;
     if (candidate.mCost < group.mCost) {
       group = candidate;
     }
   }
-  return best.mUpstream != nullptr ? best : fallback;
+  if (best.mUpstream != nullptr) {
+    return best;
+  }
+  return blocked.mUpstream != nullptr ? blocked : fallback;
 }
 
 } // namespace auburnmux::placing
--- a/packages/placing/src/PlacingSettings.h
+++ b/packages/placing/src/PlacingSettings.h
@@ -72,6 +72,10 @@
    * one window of 2 s to the next. */
   double mMaxShift = 0.15;
 
+  /** Most bytes of request bodies that one host has in flight to an upstream,
+   * unless it is a single request. */
+  base::ByteCount mMaxBodyInFlight{ std::uint64_t{ 4 } << 20U };
+
   /** Share of an upstream's cold rate that all hosts together use. */
   double mColdShare = 0.9;
 };
--- a/packages/placing/test/PlacementTest.cpp
+++ b/packages/placing/test/PlacementTest.cpp
@@ -132,6 +132,78 @@
   }
 }
 
+// Guards against bodies without bound for an upstream that doesn't read them.
+// Drawn requests are placed at one upstream, take in their bodies and end; at
+// the end none is counted.
+TEST(Placement, BodiesInFlightStayWithinTheirBound)
+{
+  CHECK_PROPERTY("at most 4 MB or one request", [](std::uint64_t aSeed) {
+    struct Sent
+    {
+      PlaceRequest mRequest;
+      base::ByteCount mInFlight;
+    };
+    base::Random random(aSeed);
+    const base::UpstreamId id("one");
+    Placement placement({}, base::DataCentreId("here-a"),
+                        base::RegionId("here"));
+    UpstreamSpec spec = MakeSpec("one", "here");
+    spec.mSlots = base::SlotCount(1000);
+    placement.Add(At(0), spec, {});
+    std::vector<Sent> sent;
+    const auto end = [&](std::size_t aIndex) {
+      PlacedResult result{ id, Outcome::Answered };
+      if (random.Below(2) == 0) {
+        placement.SetBodyInFlight(id, sent[aIndex].mInFlight,
+                                  base::ByteCount(0));
+        sent[aIndex].mInFlight = base::ByteCount(0);
+      }
+      result.mBodyInFlight = sent[aIndex].mInFlight;
+      placement.OnResult(At(1), sent[aIndex].mRequest, result);
+      sent.erase(sent.begin() + static_cast<std::ptrdiff_t>(aIndex));
+    };
+    for (int i = 0; i < 60; ++i) {
+      PlaceRequest request = MakeRequest(1);
+      request.mBody = base::ByteCount(random.Below(3U << 20U) *
+                                      (random.Below(4) == 0 ? 2 : 1));
+      if (std::holds_alternative<Placed>(placement.Place(At(i), request))) {
+        sent.push_back({ request, request.mBody });
+      }
+      std::uint64_t sum = 0;
+      int bodies = 0;
+      for (const Sent& it : sent) {
+        sum += it.mInFlight.Count();
+        bodies += it.mInFlight.Count() > 0 ? 1 : 0;
+      }
+      RC_ASSERT(placement.BodyInFlight(id).Count() == sum);
+      RC_ASSERT(sum <= 4U << 20U || bodies == 1);
+      if (!sent.empty() && random.Below(2) == 0) {
+        end(random.Below(sent.size()));
+      }
+    }
+    while (!sent.empty()) {
+      end(0);
+    }
+    RC_ASSERT(placement.BodyInFlight(id).Count() == 0U);
+  });
+}
+
+// Guards against a request that waits for an upstream beside a free one, and
+// against one without a body that is held back.
+TEST(Placement, BodyThatDoesNotFitGoesElsewhereOrWaits)
+{
+  AddUpstreams(2, 0);
+  PlaceRequest large = MakeRequest(1);
+  large.mBody = base::ByteCount(3U << 20U);
+  const auto first = Place(At(1), large);
+  const auto second = Place(At(1), large);
+  CHECK_TRUE(first && second && *first != *second);
+  CHECK_TRUE(std::holds_alternative<Wait>(mPlacement.Place(At(1), large)));
+  CHECK_TRUE(Place(At(1), MakeRequest(2)).has_value());
+  mPlacement.SetBodyInFlight(*first, large.mBody, base::ByteCount(0));
+  CHECK_TRUE(*Place(At(2), large) == *first);
+}
+
 // Guards against telling a client to come back before a long queue has cleared.
 TEST(Placement, RetryAfterCoversTheWholeWait)
 {
