entry: bound what a host holds for slow clients and upstreams

Cause: the bytes held for slow readers were bounded per exchange only; some hundred of them exceed the memory of a host with 160 MB. The bound of an exchange shrinks as the total rises. Buffers are freed when a request is answered: a relayed response was in memory twice until its client had read it.

--- a/packages/entry/src/Attempt.cpp
+++ b/packages/entry/src/Attempt.cpp
@@ -10,6 +10,7 @@
   , mObserver(std::move(aObserver))
   , mPlace(aPlace)
   , mStart(aServices.mLoop.Now())
+  , mHolding(aServices.mHeld, buffering::Receiver::Client)
 {
 }
 
@@ -110,7 +111,8 @@
     return;
   }
   mBody += aPart;
-  if (mBody.size() > kMaxBufferedBodyBytes) {
+  mHolding.Set(mBody.size());
+  if (mBody.size() > mServices.ExchangeBound().Count()) {
     mIsStreaming = true;
     observer->OnAttemptStreaming();
   }
--- a/packages/entry/src/Attempt.h
+++ b/packages/entry/src/Attempt.h
@@ -31,9 +31,6 @@
   , public std::enable_shared_from_this<Attempt>
 {
 public:
-  /** Longest response body that is buffered whole; longer ones are streamed. */
-  static constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{ 256 }
-                                                       << 10U;
   /** Longest body of a rejection that is read, so that the connection can carry
    * other requests. */
   static constexpr std::size_t kMaxRejectionBodyBytes = std::size_t{ 16 }
@@ -52,7 +49,11 @@
   const http::ResponseHead& Head() const { return mHead; }
   const std::string& Body() const { return mBody; }
   /** \returns the buffered body, which is no longer kept. */
-  std::string TakeBody() { return std::exchange(mBody, {}); }
+  std::string TakeBody()
+  {
+    mHolding.Set(0);
+    return std::exchange(mBody, {});
+  }
   base::Duration Elapsed() const;
   /** \returns what the response's head states; empty before its arrival. */
   const ResponseFields& Fields() const { return mFields; }
@@ -90,6 +91,7 @@
   http::ResponseHead mHead;
   ResponseFields mFields;
   std::string mBody;
+  buffering::Holding mHolding;
   /** Bytes of a rejection's body that were dropped. */
   std::size_t mDroppedBytes = 0;
   bool mHasHead = false;
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -31,9 +31,12 @@
 /** Interval at which the hosts that share cluster-wide limits are counted. */
 constexpr base::Duration kHostCountInterval = std::chrono::seconds(1);
 
-http::ClientOptions UpstreamClientOptions(const EntrySettings& aSettings)
+http::ClientOptions UpstreamClientOptions(
+  const EntrySettings& aSettings,
+  std::shared_ptr<buffering::HeldBytes> aAccount)
 {
   http::ClientOptions options;
+  options.mAccount = std::move(aAccount);
   options.mSource = aSettings.mFront.mAddress;
   // Upstreams state how long they keep idle connections. For those that don't,
   // mDefaultMaxIdle is the time for which most keep them at least.
@@ -80,6 +83,11 @@
   /** Records by how much the event loop is late. */
   void RecordLoopLateness();
   void OnTick();
+  /** Closes idle clients while the host holds as much as it may, and updates
+   * what is in flight to upstreams. */
+  void BoundHeldBytes();
+  /** Logs when the host's bound is reached, and when it holds little again. */
+  void LogHeldBytes();
   void OnRequest(const std::shared_ptr<http::ServerExchange>& aExchange);
   void OnMessage(const protocol::Envelope& aEnvelope);
   void OnLeavingAnnounced(const base::UpstreamId& aUpstream,
@@ -93,6 +101,7 @@
   void JoinWhenReady();
   base::Duration LongestColdTime() const;
   bool IsWorkLeft() const;
+  void CloseReader(const http::SlowReader& aReader);
 
   struct EventVisitor;
 
@@ -100,6 +109,8 @@
   EntrySettings mSettings;
   base::Random mRandom{ RandomSeed() };
   telemetry::Metrics mMetrics;
+  std::shared_ptr<buffering::HeldBytes> mHeld =
+    std::make_shared<buffering::HeldBytes>();
   http::Client mClient;
   Services mServices;
   upstreams::UpstreamBook mUpstreamBook;
@@ -110,6 +121,8 @@
   membership::ActiveHostCounter mActiveHosts;
   http::Loop::TimerId mTick;
   http::Loop::TimerId mCountTimer;
+  /** Whether the host's bound was reached and bounds are still reduced. */
+  bool mIsFull = false;
   bool mHasJoined = false;
   bool mHasUpstreams = false;
   /** When the configuration came into force here. */
@@ -179,12 +192,15 @@
                       const Translator& aTranslator)
   : mLoop(aLoop)
   , mSettings(std::move(aSettings))
-  , mClient(aLoop, UpstreamClientOptions(mSettings))
+  , mClient(aLoop, UpstreamClientOptions(mSettings, mHeld))
   , mServices{ aLoop,
                mClient,
                mMetrics,
                aTranslator,
                mSettings,
+               mHeld,
+               buffering::HoldPolicy(mSettings.mHold),
+               {},
                {},
                {},
                placing::Placement(mSettings.mPlacing, mSettings.mDataCentre,
@@ -204,6 +220,7 @@
              OnRequest(aExchange);
            })
 {
+  mFront.CountHeldBytes(mHeld);
   mTick = mLoop.Every(kTick, [this] { OnTick(); });
   mCountTimer = mLoop.Every(kHostCountInterval, [this] {
     UpdateHostCounts();
@@ -333,6 +350,7 @@
   RecordLoopLateness();
   Apply(mUpstreamBook.OnTick(mLoop.Now()));
   mChecks.OnTick();
+  BoundHeldBytes();
   if (!mStopStart) {
     return;
   }
@@ -349,6 +367,68 @@
   }
 }
 
+void EntryNode::Impl::LogHeldBytes()
+{
+  const buffering::HoldPolicy& policy = mServices.mHoldPolicy;
+  const bool isFull = mIsFull ? policy.IsShrinking(mHeld->Total())
+                              : policy.IsFull(mHeld->Total());
+  if (std::exchange(mIsFull, isFull) != isFull) {
+    base::LogWarning(
+      base::LogLine("held_bytes")
+        .With("full", isFull)
+        .With("clients", mHeld->For(buffering::Receiver::Client))
+        .With("upstreams", mHeld->For(buffering::Receiver::Upstream))
+        .With("bound", policy.Settings().mHostBound));
+  }
+}
+
+void EntryNode::Impl::BoundHeldBytes()
+{
+  for (RequestForwarder* it : mServices.mLargeBodies) {
+    it->UpdateBodyInFlight();
+  }
+  LogHeldBytes();
+  if (!mServices.mHoldPolicy.IsShrinking(mHeld->Total())) {
+    return;
+  }
+  const base::TimePoint now = mLoop.Now();
+  const std::vector<http::SlowReader> readers = mFront.SampleReaders();
+  std::vector<std::weak_ptr<RequestForwarder>> senders;
+  std::vector<buffering::HeldClient> clients;
+  clients.reserve(readers.size() + mServices.mLargeBodies.size());
+  for (const http::SlowReader& it : readers) {
+    clients.push_back(it.mHeld);
+  }
+  for (RequestForwarder* it : mServices.mLargeBodies) {
+    if (const auto body = it->WaitingBody()) {
+      senders.push_back(it->weak_from_this());
+      clients.push_back(*body);
+    }
+  }
+  while (const auto n =
+           mServices.mHoldPolicy.ClientToClose(now, mHeld->Total(), clients)) {
+    if (*n < readers.size()) {
+      CloseReader(readers[*n]);
+    } else if (const auto sender = senders[*n - readers.size()].lock()) {
+      sender->RefuseWaitingBody();
+    }
+    clients[*n].mHeld = base::ByteCount(0);
+  }
+}
+
+void EntryNode::Impl::CloseReader(const http::SlowReader& aReader)
+{
+  base::LogWarning(
+    base::LogLine("reader_closed")
+      .With("client", aReader.mAddress)
+      .With("held", aReader.mHeld.mHeld)
+      .With("idle_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                         mLoop.Now() - aReader.mHeld.mLastProgress)
+                         .count()));
+  mMetrics.Count("auburnmux_readers_closed_total");
+  mFront.CloseReader(aReader);
+}
+
 bool EntryNode::Impl::IsWorkLeft() const
 {
   return mServices.mOpenRequests > 0 || mFront.ActiveExchanges() > 0;
@@ -430,6 +510,12 @@
 
 std::string EntryNode::MetricsText()
 {
+  const auto set = [this](const char* aReceiver, base::ByteCount aBytes) {
+    mImpl->mMetrics.Set("auburnmux_held_bytes", { { "receiver", aReceiver } },
+                        static_cast<double>(aBytes.Count()));
+  };
+  set("client", mImpl->mHeld->For(buffering::Receiver::Client));
+  set("upstream", mImpl->mHeld->For(buffering::Receiver::Upstream));
   return mImpl->mMetrics.PrometheusText(mImpl->mLoop.Now());
 }
 
--- a/packages/entry/src/EntrySettings.h
+++ b/packages/entry/src/EntrySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Base.h"
+#include "buffering/Buffering.h"
 #include "carriage/Carriage.h"
 #include "http/Http.h"
 #include "membership/Membership.h"
@@ -37,6 +38,8 @@
   /** Retry budget of a service, for all hosts together. */
   carriage::WindowedRetryBudgetSettings mRetryBudget;
   placing::PlacingSettings mPlacing;
+  /** Bounds of what the host holds for slow clients and upstreams. */
+  buffering::HoldSettings mHold;
 };
 
 } // namespace auburnmux::entry
--- a/packages/entry/src/RequestForwarder.cpp
+++ b/packages/entry/src/RequestForwarder.cpp
@@ -67,6 +67,8 @@
   , mExchange(std::move(aExchange))
   , mFields(aServices.mTranslator.ReadRequest(mExchange->Head()))
   , mArrived(aServices.mLoop.Now())
+  , mBody(aServices.mHoldPolicy.Settings().mBodyBound.Count(), aServices.mHeld)
+  , mBodyArrived(mArrived)
 {
   ++mServices.mOpenRequests;
 }
@@ -74,6 +76,9 @@
 RequestForwarder::~RequestForwarder()
 {
   --mServices.mOpenRequests;
+  if (mIsLargeBody) {
+    mServices.mLargeBodies.erase(this);
+  }
   StopTimer();
   StopStragglerTimer();
 }
@@ -112,11 +117,51 @@
     Execute(mStateMachine->OnRefused(Reason::Stopping, kStoppingRetryAfter));
     return;
   }
+  if (head.mContentLength && RefuseLargeBody(head.mContentLength->Count())) {
+    return;
+  }
   if (mBody.IsComplete()) {
     Execute(mStateMachine->OnReadyToSend());
   }
 }
 
+bool RequestForwarder::RefuseLargeBody(std::size_t aSize)
+{
+  if (mServices.mHoldPolicy.AcceptsBody(base::ByteCount(aSize),
+                                        mServices.mHeld->Total())) {
+    return false;
+  }
+  mServices.mMetrics.Count("auburnmux_bodies_refused_total",
+                           { { "reason", "size" } });
+  Execute(mStateMachine->OnRefused(Reason::MemoryLimit, kMemoryRetryAfter));
+  return true;
+}
+
+void RequestForwarder::ListLargeBody(std::size_t aSize)
+{
+  if (!mIsLargeBody &&
+      aSize > mServices.mHoldPolicy.Settings().mMinBound.Count()) {
+    mIsLargeBody = true;
+    mServices.mLargeBodies.insert(this);
+  }
+}
+
+std::optional<buffering::HeldClient> RequestForwarder::WaitingBody() const
+{
+  if (mBody.IsComplete() || mBody.IsStreamed() || mStateMachine->IsEnded()) {
+    return std::nullopt;
+  }
+  return buffering::HeldClient{ base::ByteCount(mBody.Size()), mBodyArrived };
+}
+
+void RequestForwarder::RefuseWaitingBody()
+{
+  const auto self = shared_from_this();
+  mServices.mMetrics.Count("auburnmux_bodies_refused_total",
+                           { { "reason", "idle" } });
+  Execute(mStateMachine->OnRefused(Reason::MemoryLimit, kMemoryRetryAfter));
+}
+
 void RequestForwarder::StartTimer()
 {
   base::Duration limit = mFields.mTimeLeft.value_or(kDefaultTimeout);
@@ -179,6 +224,16 @@
   if (!mStateMachine || mStateMachine->IsEnded()) {
     return;
   }
+  const std::size_t size = mBody.Size() + aPart.size();
+  if (!mBody.IsStreamed()) {
+    if (RefuseLargeBody(size)) {
+      return;
+    }
+    mBody.SetBound(
+      mServices.mHoldPolicy.BodyBound(mServices.mHeld->Total()).Count());
+    ListLargeBody(size);
+    mBodyArrived = mServices.mLoop.Now();
+  }
   switch (mBody.OnPart(aPart)) {
     case carriage::RequestBody::Arrival::Buffered:
       return;
@@ -213,7 +268,7 @@
 void RequestForwarder::PauseClientIfBehind()
 {
   mExchange->PauseReading(mAttempt->Exchange().PendingBytes() >
-                          kMaxPendingBytes);
+                          mServices.ExchangeBound());
 }
 
 } // namespace auburnmux::entry
--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -28,11 +28,9 @@
    * immediately. */
   static constexpr base::Duration kStoppingRetryAfter =
     std::chrono::milliseconds(50);
-  /** Longest request body that is buffered, so that it can be sent again. */
-  static constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{ 1 } << 20U;
-  /** Unsent bytes to a slow receiver above which the sender is paused. */
-  static constexpr base::ByteCount kMaxPendingBytes{ std::uint64_t{ 256 }
-                                                     << 10U };
+  /** Retry-after of a request whose body this host can't hold: about half the
+   * time after which it closes idle clients. */
+  static constexpr base::Duration kMemoryRetryAfter = std::chrono::seconds(1);
 
   RequestForwarder(Services& aServices,
                    std::shared_ptr<http::ServerExchange> aExchange);
@@ -49,6 +47,14 @@
   void OnWritable();
   void OnClosed(bool aIsComplete);
 
+  /** \returns the body that the request still waits for, and when a part of it
+   * last arrived; none if it may have been sent to an upstream. */
+  std::optional<buffering::HeldClient> WaitingBody() const;
+  /** Refuses the request, as its body arrives too slowly. \pre WaitingBody() */
+  void RefuseWaitingBody();
+  /** Updates how much of a large body is in flight to the upstream. */
+  void UpdateBodyInFlight();
+
   // Events of the attempt.
   void OnAttemptResponse() override;
   void OnAttemptStreaming() override;
@@ -65,6 +71,13 @@
   base::Duration TimeSpentBefore();
   void Execute(const carriage::RequestActions& aActions);
   void Refuse(carriage::Reason aReason, base::Duration aRetryAfter);
+  /** Refuses the request if the host holds too much to buffer a body of at
+   * least \a aSize. \returns whether it did */
+  bool RefuseLargeBody(std::size_t aSize);
+  /** Lists the request among those with large bodies, if it is one of them. */
+  void ListLargeBody(std::size_t aSize);
+  /** Frees what only a further attempt would need. */
+  void ReleaseBuffers();
   void RespondUnknownRoute();
   /** \returns whether this host is stopping and may exit before the request
    * ends. */
@@ -117,7 +130,13 @@
   base::TimePoint mDeadline;
   /** Until when a response meets the route's latency target. */
   base::TimePoint mLatencyDeadline;
-  carriage::RequestBody mBody{ kMaxBufferedBodyBytes };
+  carriage::RequestBody mBody;
+  /** When a part of the body last arrived. */
+  base::TimePoint mBodyArrived;
+  /** Bytes of the body that the placement counts as in flight. */
+  base::ByteCount mBodyInFlight;
+  /** Whether the request is listed among those with large bodies. */
+  bool mIsLargeBody = false;
   std::shared_ptr<Attempt> mAttempt;
   /** Whether the placement still counts the attempt at its upstream. */
   bool mIsAttemptOpen = false;
--- a/packages/entry/src/RequestForwarderAttempts.cpp
+++ b/packages/entry/src/RequestForwarderAttempts.cpp
@@ -95,6 +95,7 @@
   result.mOutcome = aOutcome;
   result.mWarmth = mAttempt->Place().mWarmth;
   result.mExpectedWork = mAttempt->Place().mExpectedWork;
+  result.mBodyInFlight = mBodyInFlight;
   StopStragglerTimer();
   if (aOutcome == Outcome::Replaced || aOutcome == Outcome::Answered) {
     result.mElapsed = mAttempt->Elapsed();
@@ -149,12 +150,13 @@
   http::RemoveHopByHop(head.mHeaders);
   mExchange->SendHead(head);
   mExchange->SendBody(mAttempt->TakeBody());
+  ReleaseBuffers();
 }
 
 void RequestForwarder::OnAttemptBody(std::string_view aPart)
 {
   mExchange->SendBody(aPart);
-  if (mExchange->PendingBytes() > kMaxPendingBytes) {
+  if (mExchange->PendingBytes() > mServices.ExchangeBound()) {
     mAttempt->Exchange().PauseReading(true);
   }
 }
@@ -205,6 +207,20 @@
   }
 }
 
+void RequestForwarder::UpdateBodyInFlight()
+{
+  if (!mIsAttemptOpen) {
+    return;
+  }
+  const base::ByteCount now = mAttempt->Exchange().UnacknowledgedBytes();
+  const base::ByteCount before = std::exchange(mBodyInFlight, now);
+  mServices.mPlacement.SetBodyInFlight(mAttempt->Place().mUpstream, before,
+                                       now);
+  if (now < before) {
+    mServices.mDispatcher.OnCapacityAvailable();
+  }
+}
+
 void RequestForwarder::CancelAttempt(Outcome aOutcome)
 {
   EndAttempt(aOutcome);
--- a/packages/entry/src/RequestForwarderResponses.cpp
+++ b/packages/entry/src/RequestForwarderResponses.cpp
@@ -35,7 +35,8 @@
   if (mExchange->Head().mMethod != "HEAD") {
     head.mContentLength = base::ByteCount(mAttempt->Body().size());
   }
-  const std::string body = mAttempt->Body();
+  const std::string body = mAttempt->TakeBody();
+  ReleaseBuffers();
   LogEnd("relayed", head.mStatus);
   mIsAnswered = true;
   mExchange->SendHead(head);
@@ -45,8 +46,15 @@
   }
 }
 
+void RequestForwarder::ReleaseBuffers()
+{
+  mBody.Release();
+  mFailureResponse.reset();
+}
+
 void RequestForwarder::Refuse(Reason aReason, base::Duration aRetryAfter)
 {
+  ReleaseBuffers();
   LeaveQueue();
   StopTimer();
   LogEnd(carriage::ReasonName(aReason), 503);
@@ -84,6 +92,7 @@
     return;
   }
   StopTimer();
+  ReleaseBuffers();
   const int status = aReason == Reason::DeadlineExceeded ? 504 : 502;
   LogEnd(carriage::ReasonName(aReason), status);
   mIsAnswered = true;
--- a/packages/entry/src/RequestForwarderSelection.cpp
+++ b/packages/entry/src/RequestForwarderSelection.cpp
@@ -1,5 +1,6 @@
 #include "entry/src/RequestForwarder.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace auburnmux::entry {
@@ -44,6 +45,9 @@
   constexpr std::size_t kTypicalHeadAndResponse = 2000;
   mPlaceRequest.mBytes =
     base::ByteCount(mBody.Size() + kTypicalHeadAndResponse);
+  mPlaceRequest.mBody =
+    std::max(base::ByteCount(mBody.Size()),
+             mExchange->Head().mContentLength.value_or(base::ByteCount(0)));
   if (mRoute->mHasAffinity && mFields.mObject) {
     mPlaceRequest.mObject = placing::ObjectHash(
       base::Hash64(*mFields.mObject + ' ' + mPlaceRequest.mKind));
@@ -147,6 +151,8 @@
 {
   mPlaceRequest.mTried.push_back(aPlace.mUpstream);
   mIsAttemptOpen = true;
+  mBodyInFlight = mPlaceRequest.mBody;
+  ListLargeBody(mBodyInFlight.Count());
   mAttempt = std::make_shared<Attempt>(mServices, weak_from_this(), aPlace);
   mAttempt->Start(MakeRequest(aPlace.mUpstream));
   mAttempt->Exchange().SendBody(mBody.OnAttemptBegins());
--- a/packages/entry/src/Services.h
+++ b/packages/entry/src/Services.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Base.h"
+#include "buffering/Buffering.h"
 #include "carriage/Carriage.h"
 #include "entry/src/CrashWatch.h"
 #include "entry/src/Dispatcher.h"
@@ -14,12 +15,16 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
 namespace auburnmux::entry {
 
+class RequestForwarder;
+
 /** State shared by all requests of one host; it must outlive them. */
 struct Services
 {
@@ -28,6 +33,11 @@
   telemetry::Metrics& mMetrics;
   const Translator& mTranslator;
   const EntrySettings& mSettings;
+  /** Bytes held for slow clients and upstreams. */
+  const std::shared_ptr<buffering::HeldBytes> mHeld;
+  const buffering::HoldPolicy mHoldPolicy;
+  /** Open requests with a body above the minimum bound of an exchange. */
+  std::set<RequestForwarder*> mLargeBodies{};
   routing::RouteTable mRoutes{};
   routing::SplitSelector mSplits{};
   placing::Placement mPlacement;
@@ -56,6 +66,13 @@
   std::optional<base::TimePoint> mExitAt{};
   std::size_t mOpenRequests = 0;
 
+  /** \returns how much an exchange may hold now of a response, or of a body
+   * that is sent while it arrives. */
+  base::ByteCount ExchangeBound() const
+  {
+    return mHoldPolicy.ExchangeBound(mHeld->Total());
+  }
+
   /** \returns the retry budget of \a aService. */
   carriage::WindowedRetryBudget& RetryBudget(const base::ServiceId& aService)
   {
