--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -37,9 +37,12 @@
 constexpr base::Duration kVersionReportInterval =
   std::chrono::milliseconds(500);
 
-http::ClientOptions UpstreamClientOptions(const EntrySettings& aSettings)
+http::ClientOptions UpstreamClientOptions(
+  const EntrySettings& aSettings,
+  std::shared_ptr<buffering::HeldBytes> aAccount)
 {
   http::ClientOptions options;
+  options.mAccount = std::move(aAccount);
   options.mSource = aSettings.mFront.mAddress;
   // Upstreams state how long they keep idle connections. For those that don't,
   // mDefaultMaxIdle is the time for which most keep them at least.
@@ -110,6 +113,11 @@
   /** Records by how much the event loop is late. */
   void RecordLoopLateness();
   void OnTick();
+  /** Closes idle clients while the host holds as much as it may, and updates
+   * what is in flight to upstreams. */
+  void BoundHeldBytes();
+  /** Logs when the host's bound is reached, and when it holds little again. */
+  void LogHeldBytes();
   void OnRequest(const std::shared_ptr<http::ServerExchange>& aExchange);
   /** \returns whether a request may run while earlier ones of its connection
    * are unanswered. Clients send those behind a closed connection again,
@@ -131,6 +139,7 @@
   void JoinWhenReady();
   base::Duration LongestColdTime() const;
   bool IsWorkLeft() const;
+  void CloseReader(const http::SlowReader& aReader);
 
   struct EventVisitor;
 
@@ -138,6 +147,8 @@
   EntrySettings mSettings;
   base::Random mRandom{ RandomSeed() };
   telemetry::Metrics mMetrics;
+  std::shared_ptr<buffering::HeldBytes> mHeld =
+    std::make_shared<buffering::HeldBytes>();
   http::Client mClient;
   Services mServices;
   upstreams::UpstreamBook mUpstreamBook;
@@ -150,6 +161,8 @@
   membership::ActiveHostCounter mActiveHosts;
   http::Loop::TimerId mTick;
   http::Loop::TimerId mCountTimer;
+  /** Whether the host's bound was reached and bounds are still reduced. */
+  bool mIsFull = false;
   bool mHasJoined = false;
   bool mHasUpstreams = false;
   /** When the configuration came into force here. */
@@ -223,12 +236,15 @@
                       const Translator& aTranslator)
   : mLoop(aLoop)
   , mSettings(std::move(aSettings))
-  , mClient(aLoop, UpstreamClientOptions(mSettings))
+  , mClient(aLoop, UpstreamClientOptions(mSettings, mHeld))
   , mServices{ aLoop,
                mClient,
                mMetrics,
                aTranslator,
                mSettings,
+               mHeld,
+               buffering::HoldPolicy(mSettings.mHold),
+               {},
                {},
                {},
                placing::Placement(mSettings.mPlacing, mSettings.mDataCentre,
@@ -256,6 +272,7 @@
            } })
 {
   mServices.mQuotas = &mQuotas;
+  mFront.CountHeldBytes(mHeld);
   mTick = mLoop.Every(kTick, [this] { OnTick(); });
   mCountTimer = mLoop.Every(kHostCountInterval, [this] {
     UpdateHostCounts();
@@ -427,6 +444,7 @@
   Apply(mUpstreamBook.OnTick(mLoop.Now()));
   mChecks.OnTick();
   ReportNewerVersion();
+  BoundHeldBytes();
   if (!mStopStart) {
     return;
   }
@@ -443,6 +461,68 @@
   }
 }
 
+void EntryNode::Impl::LogHeldBytes()
+{
+  const buffering::HoldPolicy& policy = mServices.mHoldPolicy;
+  const bool isFull = mIsFull ? policy.IsShrinking(mHeld->Total())
+                              : policy.IsFull(mHeld->Total());
+  if (std::exchange(mIsFull, isFull) != isFull) {
+    base::LogWarning(
+      base::LogLine("held_bytes")
+        .With("full", isFull)
+        .With("clients", mHeld->For(buffering::Receiver::Client))
+        .With("upstreams", mHeld->For(buffering::Receiver::Upstream))
+        .With("bound", policy.Settings().mHostBound));
+  }
+}
+
+void EntryNode::Impl::BoundHeldBytes()
+{
+  for (RequestForwarder* it : mServices.mLargeBodies) {
+    it->UpdateBodyInFlight();
+  }
+  LogHeldBytes();
+  if (!mServices.mHoldPolicy.IsShrinking(mHeld->Total())) {
+    return;
+  }
+  const base::TimePoint now = mLoop.Now();
+  const std::vector<http::SlowReader> readers = mFront.SampleReaders();
+  std::vector<std::weak_ptr<RequestForwarder>> senders;
+  std::vector<buffering::HeldClient> clients;
+  clients.reserve(readers.size() + mServices.mLargeBodies.size());
+  for (const http::SlowReader& it : readers) {
+    clients.push_back(it.mHeld);
+  }
+  for (RequestForwarder* it : mServices.mLargeBodies) {
+    if (const auto body = it->WaitingBody()) {
+      senders.push_back(it->weak_from_this());
+      clients.push_back(*body);
+    }
+  }
+  while (const auto n =
+           mServices.mHoldPolicy.ClientToClose(now, mHeld->Total(), clients)) {
+    if (*n < readers.size()) {
+      CloseReader(readers[*n]);
+    } else if (const auto sender = senders[*n - readers.size()].lock()) {
+      sender->RefuseWaitingBody();
+    }
+    clients[*n].mHeld = base::ByteCount(0);
+  }
+}
+
+void EntryNode::Impl::CloseReader(const http::SlowReader& aReader)
+{
+  base::LogWarning(
+    base::LogLine("reader_closed")
+      .With("client", aReader.mAddress)
+      .With("held", aReader.mHeld.mHeld)
+      .With("idle_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                         mLoop.Now() - aReader.mHeld.mLastProgress)
+                         .count()));
+  mMetrics.Count("auburnmux_readers_closed_total");
+  mFront.CloseReader(aReader);
+}
+
 bool EntryNode::Impl::IsWorkLeft() const
 {
   return mServices.mOpenRequests > 0 || mFront.ActiveExchanges() > 0;
@@ -524,6 +604,12 @@
 
 std::string EntryNode::MetricsText()
 {
+  const auto set = [this](const char* aReceiver, base::ByteCount aBytes) {
+    mImpl->mMetrics.Set("auburnmux_held_bytes", { { "receiver", aReceiver } },
+                        static_cast<double>(aBytes.Count()));
+  };
+  set("client", mImpl->mHeld->For(buffering::Receiver::Client));
+  set("upstream", mImpl->mHeld->For(buffering::Receiver::Upstream));
   return mImpl->mMetrics.PrometheusText(mImpl->mLoop.Now());
 }
 
--- a/packages/entry/src/EntrySettings.h
+++ b/packages/entry/src/EntrySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Base.h"
+#include "buffering/Buffering.h"
 #include "carriage/Carriage.h"
 #include "http/Http.h"
 #include "membership/Membership.h"
@@ -40,6 +41,8 @@
   placing::PlacingSettings mPlacing;
   /** By how much customers' quotas may be exceeded. */
   quotas::QuotaSettings mQuotas;
+  /** Bounds of what the host holds for slow clients and upstreams. */
+  buffering::HoldSettings mHold;
 };
 
 } // namespace auburnmux::entry
--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -34,11 +34,9 @@
    * Short, since another host may know it. */
   static constexpr base::Duration kOutdatedRetryAfter =
     std::chrono::milliseconds(300);
-  /** Longest request body that is buffered, so that it can be sent again. */
-  static constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{ 1 } << 20U;
-  /** Unsent bytes to a slow receiver above which the sender is paused. */
-  static constexpr base::ByteCount kMaxPendingBytes{ std::uint64_t{ 256 }
-                                                     << 10U };
+  /** Retry-after of a request whose body this host can't hold: about half the
+   * time after which it closes idle clients. */
+  static constexpr base::Duration kMemoryRetryAfter = std::chrono::seconds(1);
 
   RequestForwarder(Services& aServices,
                    std::shared_ptr<http::ServerExchange> aExchange);
@@ -55,6 +53,14 @@
   void OnWritable();
   void OnClosed(bool aIsComplete);
 
+  /** \returns the body that the request still waits for, and when a part of it
+   * last arrived; none if it may have been sent to an upstream. */
+  std::optional<buffering::HeldClient> WaitingBody() const;
+  /** Refuses the request, as its body arrives too slowly. \pre WaitingBody() */
+  void RefuseWaitingBody();
+  /** Updates how much of a large body is in flight to the upstream. */
+  void UpdateBodyInFlight();
+
   // Events of the attempt.
   void OnAttemptResponse() override;
   void OnAttemptStreaming() override;
@@ -71,6 +77,13 @@
   base::Duration TimeSpentBefore();
   void Execute(const carriage::RequestActions& aActions);
   void Refuse(carriage::Reason aReason, base::Duration aRetryAfter);
+  /** Refuses the request if the host holds too much to buffer a body of at
+   * least \a aSize. \returns whether it did */
+  bool RefuseLargeBody(std::size_t aSize);
+  /** Lists the request among those with large bodies, if it is one of them. */
+  void ListLargeBody(std::size_t aSize);
+  /** Frees what only a further attempt would need. */
+  void ReleaseBuffers();
   void RespondUnknownRoute();
   void RespondUnknownKey();
   /**
@@ -145,7 +158,6 @@
   base::TimePoint mDeadline;
   /** Until when a response meets the route's latency target. */
   base::TimePoint mLatencyDeadline;
-  carriage::RequestBody mBody{ kMaxBufferedBodyBytes };
   /** The selected upstream, while the request waits for its quota. */
   std::optional<placing::Placed> mHeldPlace;
   std::optional<quotas::WaiterId> mQuotaWaiter;
@@ -155,6 +167,13 @@
   bool mIsTokenUsed = false;
   /** Whether an attempt that has ended may have run the request. */
   bool mHasRun = false;
+  carriage::RequestBody mBody;
+  /** When a part of the body last arrived. */
+  base::TimePoint mBodyArrived;
+  /** Bytes of the body that the placement counts as in flight. */
+  base::ByteCount mBodyInFlight;
+  /** Whether the request is listed among those with large bodies. */
+  bool mIsLargeBody = false;
   std::shared_ptr<Attempt> mAttempt;
   /** Whether the placement still counts the attempt at its upstream. */
   bool mIsAttemptOpen = false;
--- a/packages/http/src/HttpServerConnection.cpp
+++ b/packages/http/src/HttpServerConnection.cpp
@@ -25,7 +25,8 @@
 HttpServerConnection::HttpServerConnection(Owner& aOwner, int aDescriptor,
                                            std::string aClientAddress)
   : mOwner(aOwner)
-  , mStream(aOwner.EventLoop(), *this)
+  , mStream(aOwner.EventLoop(), *this, aOwner.Account(),
+            buffering::Receiver::Client)
   , mDescriptor(aDescriptor)
   , mClientAddress(std::move(aClientAddress))
   , mPhaseStart(aOwner.EventLoop().Now())
@@ -102,6 +103,26 @@
   return mStream.PendingBytes() + mExchanges.WaitingBytesUpTo(aExchange);
 }
 
+void HttpServerConnection::CloseDiscardingUnread()
+{
+  if (mStream.IsOpen()) {
+    mStream.DiscardOnClose();
+    Close();
+  }
+}
+
+std::optional<buffering::HeldClient> HttpServerConnection::SampleProgress(
+  base::TimePoint aNow)
+{
+  if (!mStream.IsOpen() || mStream.PendingBytes() == 0) {
+    mProgress.Reset();
+    return std::nullopt;
+  }
+  return buffering::HeldClient{ base::ByteCount(mStream.PendingBytes()),
+                                mProgress.OnSample(
+                                  aNow, mStream.AcknowledgedBytes()) };
+}
+
 void HttpServerConnection::OnReady(SocketReadiness aReadiness)
 {
   const auto self = shared_from_this();
