Entry: select the upstream again after a wait for the quota

Change: the selected upstream is freed when the wait ends, and the request is placed anew with its token, with the key checked against the configuration then in force.

--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -108,7 +108,9 @@
   /** Sends the request to the selected upstream once the customer's quota
    * allows it, and refuses it if the quota is used up. */
   void SendWithinQuota(const placing::Placed& aPlace);
-  void OnQuotaDecision(const quotas::Decision& aDecision);
+  /** The wait for the quota has ended. */
+  void OnQuotaAnswer(const quotas::Decision& aDecision);
+  void RefuseOverQuota(const quotas::Refused& aRefused);
   /** Ends the wait for the quota, and frees the selected upstream. */
   void LeaveQuota();
   /** Gives back the token of a request that hasn't run. */
--- a/packages/entry/src/RequestForwarderQuotas.cpp
+++ b/packages/entry/src/RequestForwarderQuotas.cpp
@@ -20,34 +20,44 @@
     Send(aPlace);
     return;
   }
-  mHeldPlace = aPlace;
   // The request ends the wait before it ends itself.
   const quotas::Decision decision = mServices.mQuotas->Take(
     HashCustomer(mSender->mCustomer->mId.Text()),
-    [this](const quotas::Decision& aDecision) { OnQuotaDecision(aDecision); });
+    [this](const quotas::Decision& aDecision) { OnQuotaAnswer(aDecision); });
+  if (const auto* taken = std::get_if<quotas::Taken>(&decision)) {
+    mToken = taken->mToken;
+    mStateMachine->OnUpstreamSelected();
+    Send(aPlace);
+    return;
+  }
+  mHeldPlace = aPlace;
   if (const auto* waiting = std::get_if<quotas::Waiting>(&decision)) {
     mQuotaWaiter = waiting->mWaiter;
   } else {
-    OnQuotaDecision(decision);
+    RefuseOverQuota(std::get<quotas::Refused>(decision));
   }
 }
 
-void RequestForwarder::OnQuotaDecision(const quotas::Decision& aDecision)
+void RequestForwarder::OnQuotaAnswer(const quotas::Decision& aDecision)
 {
   const auto self = shared_from_this();
   mQuotaWaiter.reset();
   if (const auto* taken = std::get_if<quotas::Taken>(&aDecision)) {
     mToken = taken->mToken;
-    const placing::Placed place = *std::exchange(mHeldPlace, std::nullopt);
-    mStateMachine->OnUpstreamSelected();
-    Send(place);
+    // The upstream may have left, and the key been withdrawn, in the meantime.
+    LeaveQuota();
+    TryPlace();
     return;
   }
+  RefuseOverQuota(std::get<quotas::Refused>(aDecision));
+}
+
+void RequestForwarder::RefuseOverQuota(const quotas::Refused& aRefused)
+{
   LeaveQuota();
-  const auto& refused = std::get<quotas::Refused>(aDecision);
-  const bool isOver = refused.mReason == quotas::RefusalReason::OverQuota;
+  const bool isOver = aRefused.mReason == quotas::RefusalReason::OverQuota;
   Execute(mStateMachine->OnSelectionFailed(
-    isOver ? Reason::OverQuota : Reason::QuotaUnknown, refused.mRetryAfter));
+    isOver ? Reason::OverQuota : Reason::QuotaUnknown, aRefused.mRetryAfter));
 }
 
 void RequestForwarder::LeaveQuota()
