--- a/packages/entry/src/EntrySettings.h
+++ b/packages/entry/src/EntrySettings.h
@@ -5,6 +5,7 @@
 #include "http/Http.h"
 #include "membership/Membership.h"
 #include "placing/Placing.h"
+#include "quotas/Quotas.h"
 
 #include <map>
 #include <vector>
@@ -37,6 +38,8 @@
   /** Retry budget of a service, for all hosts together. */
   carriage::WindowedRetryBudgetSettings mRetryBudget;
   placing::PlacingSettings mPlacing;
+  /** By how much the quotas of customers may be exceeded. */
+  quotas::QuotaSettings mQuotas;
 };
 
 } // namespace auburnmux::entry
