carriage: a streamed body is in flight until its upstream has taken it

Cause: the count of a streamed body dropped to what was unacknowledged at that moment, so an upstream that doesn't read was given others while the rest of the first ones was still arriving. Change: RequestBody::InFlight() counts what has yet to arrive, unless the upstream has acknowledged all that it was sent.

--- a/packages/carriage/src/RequestBody.cpp
+++ b/packages/carriage/src/RequestBody.cpp
@@ -33,6 +33,7 @@
 RequestBody::Arrival RequestBody::OnPart(std::string_view aPart)
 {
   if (mIsStreamed && mHasAttempt) {
+    mGiven += aPart.size();
     return Arrival::Forward;
   }
   mHeld += aPart;
@@ -49,6 +50,7 @@
   assert(MayBeSent());
   mWasSent = true;
   mHasAttempt = true;
+  mGiven = mHeld.size();
   if (!mIsStreamed) {
     return mHeld;
   }
@@ -56,6 +58,16 @@
   return std::exchange(mHeld, {});
 }
 
+std::size_t RequestBody::InFlight(std::size_t aSize,
+                                  std::size_t aUnacknowledged) const
+{
+  if (aUnacknowledged == 0) {
+    return 0;
+  }
+  const std::size_t taken = mGiven - std::min(mGiven, aUnacknowledged);
+  return std::max(aUnacknowledged, aSize - std::min(aSize, taken));
+}
+
 void RequestBody::Release()
 {
   mHeld = {};
--- a/packages/carriage/src/RequestBody.h
+++ b/packages/carriage/src/RequestBody.h
@@ -52,6 +52,15 @@
   /** Frees what is held. No further attempt begins. */
   void Release();
 
+  /**
+   * \returns how much of the body is in flight to the upstream of the attempt:
+   * all that it has not acknowledged, also what has yet to arrive here. If it
+   * has acknowledged everything that it was sent, it is the client that is
+   * slow, and nothing is in flight.
+   * \param aSize size of the body, as far as is known
+   * \param aUnacknowledged sent and queued bytes that are not acknowledged
+   */
+  std::size_t InFlight(std::size_t aSize, std::size_t aUnacknowledged) const;
   /** \returns whether the whole body has arrived. */
   bool IsComplete() const { return mIsComplete; }
   /** \returns whether the body is too long to be sent again. */
@@ -76,6 +85,8 @@
   bool mIsStreamed = false;
   bool mWasSent = false;
   bool mHasAttempt = false;
+  /** Bytes that the attempt was given. */
+  std::size_t mGiven = 0;
 };
 
 } // namespace auburnmux::carriage
--- a/packages/carriage/test/RequestBodyTest.cpp
+++ b/packages/carriage/test/RequestBodyTest.cpp
@@ -163,3 +163,19 @@
   CHECK_TRUE(one.IsStreamed() && other.IsStreamed());
   CHECK_TRUE(one.Prefix() == other.Prefix());
 }
+
+// Guards against an upstream that doesn't read and is given further bodies,
+// because little of a streamed one has arrived here, and against one that is
+// given none while it waits for a slow client.
+TEST(RequestBody, IsInFlightUntilItsUpstreamHasTakenIt)
+{
+  RequestBody body(kMaxBuffered);
+  body.OnPart(std::string(200, 'x'));
+  body.OnAttemptBegins();
+  CHECK_EQUAL(1000U, body.InFlight(1000, 250));
+  CHECK_EQUAL(850U, body.InFlight(1000, 50));
+  CHECK_EQUAL(0U, body.InFlight(1000, 0));
+  body.OnPart(std::string(800, 'x'));
+  CHECK_EQUAL(30U, body.InFlight(1000, 30));
+  CHECK_EQUAL(900U, body.InFlight(300, 900));
+}
--- a/packages/entry/src/RequestForwarderAttempts.cpp
+++ b/packages/entry/src/RequestForwarderAttempts.cpp
@@ -212,7 +212,9 @@
   if (!mIsAttemptOpen) {
     return;
   }
-  const base::ByteCount now = mAttempt->Exchange().UnacknowledgedBytes();
+  const base::ByteCount now(
+    mBody.InFlight(mPlaceRequest.mBody.Count(),
+                   mAttempt->Exchange().UnacknowledgedBytes().Count()));
   const base::ByteCount before = std::exchange(mBodyInFlight, now);
   mServices.mPlacement.SetBodyInFlight(mAttempt->Place().mUpstream, before,
                                        now);
