Fair queue: order waiting requests by customer's rank and fair shares

Cause: the queue orders by the route's rank and arrival alone, so a customer that sends five times its usual rate takes the capacity of all others. Change: the customer's rank precedes the route's; within a service and equal ranks, start-time fair queueing over customers decides, weighted by rate_per_s. Where customers are configured, an arriving request no longer takes a slot ahead of those that wait, and at most 16 of the 64 requests of a round are of one customer while others wait. With one customer or none the order is as before.

--- a/packages/admission/src/AdmissionQueue.cpp
+++ b/packages/admission/src/AdmissionQueue.cpp
@@ -1,5 +1,6 @@
 #include "admission/src/AdmissionQueue.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace auburnmux::admission {
@@ -15,17 +16,16 @@
  * some have been sent. */
 constexpr std::size_t kMinOverdue = 4;
 
-} // namespace
+/** Part of the requests tried together, as one over this, that may be of one
+ * customer while others wait. */
+constexpr std::size_t kMaxCustomerShare = 4;
 
-AdmissionQueue::SortKey AdmissionQueue::SortKeyOf(const QueuedRequest& aRequest)
-{
-  return { aRequest.mRank, aRequest.mArrived, aRequest.mTicket.Count() };
-}
+} // namespace
 
 void AdmissionQueue::Add(const QueuedRequest& aRequest)
 {
   mEntries[aRequest.mTicket] = { aRequest };
-  mOnTime.insert(SortKeyOf(aRequest));
+  mOnTime.Add(aRequest);
   mBySendTime.insert({ aRequest.mSendBy, aRequest.mTicket.Count() });
 }
 
@@ -36,7 +36,7 @@
     return;
   }
   const QueuedRequest& request = it->second.mRequest;
-  (it->second.mIsOverdue ? mOverdue : mOnTime).erase(SortKeyOf(request));
+  (it->second.mIsOverdue ? mOverdue : mOnTime).Remove(request);
   mBySendTime.erase({ request.mSendBy, aTicket.Count() });
   mEntries.erase(it);
 }
@@ -47,8 +47,8 @@
     Entry& entry = mEntries.at(Ticket(mBySendTime.begin()->second));
     mBySendTime.erase(mBySendTime.begin());
     entry.mIsOverdue = true;
-    mOnTime.erase(SortKeyOf(entry.mRequest));
-    mOverdue.insert(SortKeyOf(entry.mRequest));
+    mOnTime.Remove(entry.mRequest);
+    mOverdue.Add(entry.mRequest);
   }
 }
 
@@ -62,20 +62,35 @@
 void AdmissionQueue::OnSent(base::TimePoint aNow, Ticket aTicket)
 {
   const auto it = mEntries.find(aTicket);
-  if (it != mEntries.end() && it->second.mIsOverdue) {
+  if (it == mEntries.end()) {
+    return;
+  }
+  (it->second.mIsOverdue ? mOverdue : mOnTime).OnSent(it->second.mRequest);
+  if (it->second.mIsOverdue) {
     mOverdueSent = OverdueRate(aNow) * kAveragingTime.count() + 1;
     mOverdueSentAt = aNow;
   }
 }
 
+void AdmissionQueue::OnSentDirectly(const QueuedRequest& aRequest)
+{
+  mOnTime.OnSent(aRequest);
+}
+
+bool AdmissionQueue::IsNext(base::TimePoint aNow, const QueuedRequest& aRequest)
+{
+  MoveOverdue(aNow);
+  return mOnTime.IsNext(aRequest);
+}
+
 std::vector<Ticket> AdmissionQueue::Excess(base::TimePoint aNow)
 {
   MoveOverdue(aNow);
   std::vector<Ticket> excess;
   const double rate = OverdueRate(aNow);
   std::size_t position = 0;
-  for (const SortKey& it : mOverdue) {
-    const Ticket ticket(std::get<std::uint64_t>(it));
+  for (RankedRequests::Cursor it(mOverdue); !it.IsAtEnd();) {
+    const Ticket ticket = it.Next();
     const base::TimePoint giveUpAt = mEntries.at(ticket).mRequest.mGiveUpAt;
     const bool isReached =
       position < kMinOverdue || giveUpAt == base::TimePoint::max() ||
@@ -93,15 +108,25 @@
                                           std::size_t aMaxCount)
 {
   MoveOverdue(aNow);
+  const std::size_t maxOfCustomer =
+    std::max<std::size_t>(aMaxCount / kMaxCustomerShare, 1);
+  std::unordered_map<customers::CustomerId, std::size_t> counts;
   std::vector<Ticket> tickets;
+  std::vector<Ticket> rest;
   for (const auto* group : { &mOnTime, &mOverdue }) {
-    for (const SortKey& it : *group) {
+    for (RankedRequests::Cursor it(*group); !it.IsAtEnd();) {
       if (tickets.size() == aMaxCount) {
         return tickets;
       }
-      tickets.emplace_back(std::get<std::uint64_t>(it));
+      const Ticket ticket = it.Next();
+      const auto& customer = mEntries.at(ticket).mRequest.mCustomer;
+      const bool isPostponed =
+        !customer.IsEmpty() && ++counts[customer] > maxOfCustomer;
+      (isPostponed ? rest : tickets).push_back(ticket);
     }
   }
+  rest.resize(std::min(rest.size(), aMaxCount - tickets.size()));
+  tickets.insert(tickets.end(), rest.begin(), rest.end());
   return tickets;
 }
 
--- a/packages/customers/src/Customer.h
+++ b/packages/customers/src/Customer.h
@@ -34,6 +34,9 @@
   Quota mQuota;
   /** Regions in which requests may be handled; empty allows all. */
   std::vector<base::RegionId> mAllowedRegions;
+
+  /** \returns the customer's share of what others compete for as well. */
+  double Weight() const { return mQuota.IsLimited() ? mQuota.mRate : 1; }
 };
 
 } // namespace auburnmux::customers
--- a/packages/entry/src/Dispatcher.cpp
+++ b/packages/entry/src/Dispatcher.cpp
@@ -43,6 +43,14 @@
   return ticket;
 }
 
+void Dispatcher::Update(admission::Ticket aTicket,
+                        admission::QueuedRequest aRequest)
+{
+  aRequest.mTicket = aTicket;
+  mQueue.Remove(aTicket);
+  mQueue.Add(aRequest);
+}
+
 void Dispatcher::OnSent(admission::Ticket aTicket)
 {
   mQueue.OnSent(mLoop.Now(), aTicket);
--- a/packages/entry/src/Dispatcher.h
+++ b/packages/entry/src/Dispatcher.h
@@ -32,8 +32,21 @@
   /** Queues a request, whose ticket is set here. \returns the ticket */
   admission::Ticket Enqueue(admission::QueuedRequest aRequest,
                             Callbacks aCallbacks);
+  /** Replaces what is known of a queued request. */
+  void Update(admission::Ticket aTicket, admission::QueuedRequest aRequest);
   /** Records that a queued request is being sent. */
   void OnSent(admission::Ticket aTicket);
+  /** Records that a request is being sent that didn't wait. */
+  void OnSentDirectly(const admission::QueuedRequest& aRequest)
+  {
+    mQueue.OnSentDirectly(aRequest);
+  }
+  /** \returns whether a request that arrives now needn't wait behind others.
+   */
+  bool IsNext(const admission::QueuedRequest& aRequest)
+  {
+    return mQueue.IsNext(mLoop.Now(), aRequest);
+  }
   void Remove(admission::Ticket aTicket);
   /** An upstream may have capacity: schedules a round. */
   void OnCapacityAvailable();
--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -87,6 +87,10 @@
   void SelectUpstream(bool aUsesRetryBudget);
   /** Selects an upstream; queues the request if none has capacity. */
   void TryPlace();
+  /** Queues the request until a round of the dispatcher tries it. */
+  void Enqueue(const placing::Wait& aWait);
+  /** \returns the request as it is queued. */
+  admission::QueuedRequest ToQueue(const placing::Wait& aWait) const;
   /** Refuses a request that its queue won't reach in time. */
   void RefuseQueued();
   void LeaveQueue();
@@ -131,6 +135,9 @@
   retries::Fingerprint mFingerprint;
   /** Set while the request is queued. */
   std::optional<admission::Ticket> mTicket;
+  /** Whether it was queued by an estimate, before any upstream was considered.
+   */
+  bool mIsWaitEstimated = false;
   base::Duration mQueueTime{};
   base::TimePoint mArrived;
   base::TimePoint mDeadline;
--- a/packages/entry/src/RequestForwarderSelection.cpp
+++ b/packages/entry/src/RequestForwarderSelection.cpp
@@ -63,6 +63,19 @@
     Execute(mStateMachine->OnSelectionFailed(*refusal, kOutdatedRetryAfter));
     return;
   }
+  std::optional<admission::QueuedRequest> arriving;
+  if (mSender && !mTicket) {
+    const placing::Wait estimate =
+      mServices.mPlacement.EstimateWait(mPlaceRequest);
+    arriving = ToQueue(estimate);
+    // A slot that has become free since the last round belongs to those that
+    // wait for it.
+    if (!mServices.mDispatcher.IsNext(*arriving)) {
+      Enqueue(estimate);
+      mIsWaitEstimated = true;
+      return;
+    }
+  }
   const base::TimePoint now = mServices.mLoop.Now();
   mPlaceRequest.mTimeLeft = TimeLeft();
   const placing::PlaceDecision decision =
@@ -70,21 +83,17 @@
   mPlaceRequest.mIsPlacedBefore = true;
   if (const auto* wait = std::get_if<placing::Wait>(&decision)) {
     if (!mTicket) {
-      const auto self = shared_from_this();
-      mTicket = mServices.mDispatcher.Enqueue(
-        { {},
-          mRoute->mRank.Count(),
-          mArrived,
-          mLatencyDeadline - wait->mResponseTime,
-          wait->mIsMeasured ? mDeadline - wait->mResponseTime
-                            : base::TimePoint::max() },
-        { [this, self] { TryPlace(); }, [this, self] { RefuseQueued(); } });
+      Enqueue(*wait);
+    } else if (std::exchange(mIsWaitEstimated, false)) {
+      mServices.mDispatcher.Update(*mTicket, ToQueue(*wait));
     }
     return;
   }
   const auto* place = std::get_if<placing::Placed>(&decision);
   if (mTicket && place != nullptr) {
     mServices.mDispatcher.OnSent(*mTicket);
+  } else if (arriving && place != nullptr) {
+    mServices.mDispatcher.OnSentDirectly(*arriving);
   }
   LeaveQueue();
   if (place != nullptr) {
@@ -99,6 +108,35 @@
   }
 }
 
+void RequestForwarder::Enqueue(const placing::Wait& aWait)
+{
+  const auto self = shared_from_this();
+  mTicket = mServices.mDispatcher.Enqueue(
+    ToQueue(aWait),
+    { [this, self] { TryPlace(); }, [this, self] { RefuseQueued(); } });
+}
+
+admission::QueuedRequest RequestForwarder::ToQueue(
+  const placing::Wait& aWait) const
+{
+  admission::QueuedRequest request;
+  request.mRank = mRoute->mRank.Count();
+  request.mArrived = mArrived;
+  request.mSendBy = mLatencyDeadline - aWait.mResponseTime;
+  request.mGiveUpAt = aWait.mIsMeasured ? mDeadline - aWait.mResponseTime
+                                        : base::TimePoint::max();
+  request.mService = mPlaceRequest.mService;
+  if (mSender && mSender->mCustomer) {
+    const customers::Customer& customer = *mSender->mCustomer;
+    request.mCustomer = customer.mId;
+    if (customer.mRank) {
+      request.mCustomerRank = customer.mRank->Count();
+    }
+    request.mWeight = customer.Weight();
+  }
+  return request;
+}
+
 void RequestForwarder::RefuseQueued()
 {
   LeaveQueue();
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -155,6 +155,11 @@
                                  aRequest.mLatencyTarget);
 }
 
+Wait Placement::EstimateWait(const PlaceRequest& aRequest) const
+{
+  return { {}, ExpectedWork(aRequest), mWorkEstimates.IsKnown(aRequest.mKind) };
+}
+
 void Placement::SetHostCounts(base::TimePoint aNow, const HostCounts& aCounts)
 {
   mHostCounts = aCounts;
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -228,6 +228,9 @@
   /** \returns the mean work time of the request's kind at upstreams that don't
    * have its object in memory. */
   base::Duration ExpectedWork(const PlaceRequest& aRequest) const;
+  /** \returns what Place() would tell about a request that has to wait, without
+   * a choice of its upstream. */
+  Wait EstimateWait(const PlaceRequest& aRequest) const;
   /** \returns the service of an upstream; none if the upstream is unknown. */
   std::optional<base::ServiceId> ServiceOf(const base::UpstreamId& aId) const;
   /** \returns the tracker of an upstream; null if the upstream is unknown. */
