Entry: keep the refusal of a request whose key was withdrawn

A straggler isn't replaced after its key was withdrawn, but that check was forgotten: when the straggler failed, the request was placed again without a sender, and its fields passed unchanged. Change: the refusal is kept for the version that gave it, and the sender is set before the key is looked up, so that no path forwards a key where customers are configured.

--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -150,6 +150,8 @@
   std::optional<Sender> mSender;
   /** Version of the configuration that Identify() used. */
   base::ConfigVersion mIdentifiedBy;
+  /** Why that version refuses the request, if it does. */
+  std::optional<carriage::Reason> mIdentityRefusal;
   placing::PlaceRequest mPlaceRequest;
   std::optional<carriage::RequestStateMachine> mStateMachine;
   std::optional<http::Loop::TimerId> mTimer;
--- a/packages/entry/src/RequestForwarderCustomers.cpp
+++ b/packages/entry/src/RequestForwarderCustomers.cpp
@@ -29,13 +29,14 @@
   if (!configuration.mCustomers) {
     return std::nullopt;
   }
+  // Also set for a request that is refused, so that no path forwards its key.
+  mSender.emplace();
   const customers::Identification result = customers::Identify(
     *configuration.mCustomers, mRoute->mAllowsAnonymous, mFields.mKey,
     mServices.IsConfigurationCurrent(mServices.mLoop.Now()));
   if (const auto refusal = RefusalOf(result)) {
     return refusal;
   }
-  mSender.emplace();
   if (const auto* identified = std::get_if<customers::Identified>(&result)) {
     mSender->mCustomer = identified->mCustomer;
     auto regions = customers::CommonRegions(
@@ -50,8 +51,12 @@
 
 std::optional<Reason> RequestForwarder::IdentifyAgain()
 {
-  return mIdentifiedBy == mServices.mRoutes.Version() ? std::nullopt
-                                                      : Identify();
+  // A refusal stays in force: a straggler isn't replaced after it, and the
+  // request may be placed again when the straggler fails.
+  if (mIdentifiedBy != mServices.mRoutes.Version()) {
+    mIdentityRefusal = Identify();
+  }
+  return mIdentityRefusal;
 }
 
 } // namespace auburnmux::entry
