--- a/packages/http/src/HttpServerConnection.h
+++ b/packages/http/src/HttpServerConnection.h
@@ -69,6 +69,11 @@
   void Queue(std::string_view aBytes) { mStream.Queue(aBytes); }
   /** \returns the bytes of \a aExchange's response, and of those before it,
    * that are not written to the socket yet. */
+  /** \returns the account of the host's buffers, or null. */
+  std::shared_ptr<buffering::HeldBytes> Account() const
+  {
+    return mOwner.Account();
+  }
   std::size_t PendingBytes(const ServerExchangeImpl& aExchange) const;
   /** Ends \a aExchange and those behind it as incomplete. The connection
    * closes once the requests before it are answered. */
--- a/packages/http/src/ServerExchangeImpl.cpp
+++ b/packages/http/src/ServerExchangeImpl.cpp
@@ -54,6 +54,7 @@
                                        RequestHead aHead)
   : mConnection(&aConnection)
   , mHead(std::move(aHead))
+  , mWaitingAccount(aConnection.Account(), buffering::Receiver::Client)
 {
 }
 
@@ -126,10 +127,12 @@
 
 void ServerExchangeImpl::CloseAfterResponse()
 {
-  if (!std::exchange(mClosesAfter, true) && mIsHeadSent && !mHasTurn) {
+  const bool isHeadWaiting = mConnection != nullptr && mIsHeadSent && !mHasTurn;
+  if (!std::exchange(mClosesAfter, true) && isHeadWaiting) {
     std::string field;
     AppendField(field, { "connection", "close" });
     mWaiting.insert(mFieldsEnd, field);
+    mWaitingAccount.Set(mWaiting.size());
   }
 }
 
@@ -139,6 +142,7 @@
     mConnection->Queue(aBytes);
   } else {
     mWaiting += aBytes;
+    mWaitingAccount.Set(mWaiting.size());
   }
 }
 
@@ -153,6 +157,7 @@
 {
   mHasTurn = true;
   const std::string waiting = std::exchange(mWaiting, {});
+  mWaitingAccount.Set(0);
   mConnection->Queue(waiting);
 }
 
@@ -242,6 +247,8 @@
 void ServerExchangeImpl::HandleClosed(bool aIsComplete)
 {
   mConnection = nullptr;
+  mWaiting.clear();
+  mWaitingAccount.Set(0);
   if (mObserver) {
     const std::unique_ptr<RequestObserver> observer = std::move(mObserver);
     observer->OnClosed(aIsComplete);
--- a/packages/http/src/ServerExchangeImpl.h
+++ b/packages/http/src/ServerExchangeImpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "buffering/Buffering.h"
 #include "http/src/Server.h"
 
 #include <cstddef>
@@ -70,6 +71,7 @@
   std::string mEarlyBody;
   /** The part of the response that waits for its turn. */
   std::string mWaiting;
+  buffering::Holding mWaitingAccount;
   /** Where the fields of the head end in mWaiting. */
   std::size_t mFieldsEnd = 0;
   bool mIsStarted = false;
--- a/packages/http/test/PipelineTest.cpp
+++ b/packages/http/test/PipelineTest.cpp
@@ -162,6 +162,29 @@
   }
 }
 
+// Guards against a host that runs out of memory by responses that wait for
+// their turn and are missing in the account of held bytes.
+TEST(Pipeline, ResponsesThatWaitForTheirTurnAreHeldBytes)
+{
+  const auto account = std::make_shared<buffering::HeldBytes>();
+  mServer->CountHeldBytes(account);
+  const std::string body(100'000, 'x');
+  Send(Get("/early/1") + Get("/early/2") + Get("/early/3"));
+  Respond("/early/2", body);
+  CHECK_TRUE(account->Total().Count() >= body.size());
+  Respond("/early/3", body);
+  CHECK_TRUE(account->Total().Count() >= 2 * body.size());
+  Respond("/early/1", "one");
+  WaitFor([&] { return mServer->ActiveExchanges() == 0; });
+  CHECK_EQUAL(0U, account->Total().Count());
+  Send(Get("/early/4") + Get("/early/5"));
+  Respond("/early/5", body);
+  mClient->Close();
+  WaitFor([&] { return mServer->ActiveExchanges() == 0; });
+  mRequests.clear();
+  CHECK_EQUAL(0U, account->Total().Count());
+}
+
 // Guards against upstreams that work on for a client that has gone.
 TEST(Pipeline, AllRequestsEndWhenTheClientLeaves)
 {
