--- a/packages/quotas/src/Requester.cpp
+++ b/packages/quotas/src/Requester.cpp
@@ -56,7 +56,9 @@
     mHolder.reset();
   }
   if (mSilentSince && aNow - *mSilentSince >= kSilence) {
-    mAvoidedUntil[mTarget] = aNow + kSilentHostPause;
+    const bool hasAnswered = mEcho != Stamp();
+    mAvoidedUntil[mTarget] =
+      aNow + (hasAnswered ? kSilentHostPause : kUnknownHostPause);
     mSilentSince.reset();
   }
   for (auto it = mAvoidedUntil.begin(); it != mAvoidedUntil.end();) {
--- a/packages/quotas/src/Settings.h
+++ b/packages/quotas/src/Settings.h
@@ -60,6 +60,10 @@
  * a dead host in 3.2 s. */
 constexpr base::Duration kSilentHostPause = std::chrono::seconds(5);
 
+/** The same for a host that has never answered: it may only have started, and
+ * not know this host yet. */
+constexpr base::Duration kUnknownHostPause = std::chrono::milliseconds(300);
+
 /** Validity of an attachment after the receiver's stamp that the sender last
  * echoed. */
 constexpr base::Duration kLease = std::chrono::seconds(1);
