--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -520,9 +520,9 @@
     mImpl->mLoop.Now(), std::move(aCentres), mImpl->LongestColdTime());
 }
 
-void EntryNode::OnConfigurationConfirmed()
+void EntryNode::OnConfigurationConfirmed(base::Duration aAge)
 {
-  mImpl->mServices.mConfirmation.Confirm(mImpl->mLoop.Now());
+  mImpl->mServices.mConfirmation.Confirm(mImpl->mLoop.Now() - aAge);
 }
 
 void EntryNode::OnStoreLost()
--- a/packages/entry/src/EntryNode.h
+++ b/packages/entry/src/EntryNode.h
@@ -64,7 +64,7 @@
   void OnUpstream(const upstreams::UpstreamRecord& aRecord) override;
   void OnUpstreamRemoved(const base::UpstreamId& aId) override;
   void OnEvacuations(std::set<base::DataCentreId> aCentres) override;
-  void OnConfigurationConfirmed() override;
+  void OnConfigurationConfirmed(base::Duration aAge) override;
   void OnStoreLost() override;
   void OnStoreBack() override;
   void OnUpstreamsRolledBack() override;
--- a/packages/entry/src/StateSink.h
+++ b/packages/entry/src/StateSink.h
@@ -30,8 +30,9 @@
   virtual void OnUpstream(const upstreams::UpstreamRecord& aRecord) = 0;
   virtual void OnUpstreamRemoved(const base::UpstreamId& aId) = 0;
   virtual void OnEvacuations(std::set<base::DataCentreId> aCentres) = 0;
-  /** The store, or a host that follows it, named no newer configuration. */
-  virtual void OnConfigurationConfirmed() = 0;
+  /** The store, or a host that follows it, named no newer configuration
+   * \a aAge ago. */
+  virtual void OnConfigurationConfirmed(base::Duration aAge) = 0;
   /** The store has stopped answering this host. */
   virtual void OnStoreLost() = 0;
   virtual void OnStoreBack() = 0;
--- a/packages/routing/src/Confirmation.h
+++ b/packages/routing/src/Confirmation.h
@@ -18,7 +18,14 @@
    * answers, it is confirmed every 1.5 s. */
   static constexpr base::Duration kMaxAge = std::chrono::milliseconds(2500);
 
-  void Confirm(base::TimePoint aNow) { mConfirmedAt = aNow; }
+  /** The configuration was the newest one at \a aTime. Earlier times than
+   * before are ignored: the reports of other hosts may cross. */
+  void Confirm(base::TimePoint aTime)
+  {
+    if (!mConfirmedAt || *mConfirmedAt < aTime) {
+      mConfirmedAt = aTime;
+    }
+  }
 
   /** \returns the time since the last confirmation; none before the first. */
   std::optional<base::Duration> Age(base::TimePoint aNow) const
--- a/packages/routing/test/RoutingTest.cpp
+++ b/packages/routing/test/RoutingTest.cpp
@@ -117,4 +117,7 @@
   CHECK_FALSE(confirmation.IsRecent(at(3501)));
   confirmation.Confirm(at(4000));
   CHECK_TRUE(confirmation.IsRecent(at(4001)));
+  // An older report of another host arrives late.
+  confirmation.Confirm(at(1000));
+  CHECK_TRUE(confirmation.IsRecent(at(6500)));
 }
