--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -380,11 +380,26 @@
 class Store
 {
 public:
-  explicit Store(const std::string& aIp)
-    : mListener({ aIp, FreePort(aIp) }, [this](Connection& aIt) { Serve(aIt); })
+  explicit Store(const std::string& aIp) { AddAddress(aIp); }
+  const Address& At() const { return mListeners.back()->At(); }
+  /** The store is reached at another address as well, which At() then tells. */
+  void AddAddress(const std::string& aIp)
   {
+    mListeners.push_back(std::make_unique<Listener>(
+      Address{ aIp, FreePort(aIp) },
+      [this, n = mListeners.size()](Connection& aIt) { Serve(aIt, n); }));
+  }
+  /** Gives up the first address, with its connections. */
+  void CloseFirstAddress()
+  {
+    mListeners.front()->Stop();
+    const std::lock_guard<std::mutex> lock(mMutex);
+    for (const auto& [fd, listener] : mOpen) {
+      if (listener == 0) {
+        shutdown(fd, SHUT_RDWR);
+      }
+    }
   }
-  const Address& At() const { return mListener.At(); }
 
   void Put(const std::string& aKind, const std::string& aName,
            const json& aSpec)
@@ -450,14 +465,21 @@
                              "Content-Length: " +
                              std::to_string(body.size()) + "\r\n\r\n" + body);
   }
-  void Serve(Connection& aConnection)
+  void Serve(Connection& aConnection, std::size_t aListener)
   {
+    const int fd = aConnection.Socket();
+    {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      mOpen[fd] = aListener;
+    }
     while (const auto head = aConnection.ReadHead()) {
       aConnection.ReadBody(*head);
       if (!Handle(aConnection, *head)) {
-        return;
+        break;
       }
     }
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mOpen.erase(fd);
   }
   bool Handle(Connection& aConnection, const Head& aHead)
   {
@@ -512,7 +534,9 @@
   std::vector<Event> mEvents;
   std::uint64_t mRevision = 100;
   bool mIsDown = false;
-  Listener mListener;
+  /** The open connections, with the number of their listener. */
+  std::map<int, std::size_t> mOpen;
+  std::vector<std::unique_ptr<Listener>> mListeners;
 };
 
 /** One machine of the deployment: the daemon, as the deploy file starts it. */
@@ -596,10 +620,16 @@
                  { "value_bytes", 1048576 },
                  { "ttl_min_ms", 1000 } } } };
   }
+  /** Replaces the settings file at once, as a rename does. */
+  void WriteSettings(const json& aSettings)
+  {
+    std::ofstream(mSettingsFile + ".new") << aSettings.dump(2);
+    std::rename((mSettingsFile + ".new").c_str(), mSettingsFile.c_str());
+  }
   /** Starts the daemon from the root of the repository. */
   void Start(const json& aSettings)
   {
-    std::ofstream(mSettingsFile) << aSettings.dump(2);
+    WriteSettings(aSettings);
     mPid = fork();
     if (mPid == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with the test, whatever happens
