--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -539,6 +539,83 @@
   std::vector<std::unique_ptr<Listener>> mListeners;
 };
 
+/** A link that ends TCP, as a balancer does, and can stop to carry the bytes of
+ * open connections. They stay open, and new ones work. */
+class Link
+{
+public:
+  Link(const std::string& aIp, Address aTo)
+    : mTo(std::move(aTo))
+    , mListener({ aIp, FreePort(aIp) }, [this](Connection& aIt) { Carry(aIt); })
+  {
+  }
+  const Address& At() const { return mListener.At(); }
+  /** Silences the open connections whose last request contains one of the
+   * texts. \returns how many of how many */
+  std::pair<int, int> Silence(const std::vector<std::string>& aTexts)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    int n = 0;
+    for (const auto& it : mFlows) {
+      for (const std::string& text : aTexts) {
+        if (!it->mIsSilent && it->mLastRequest.find(text) != std::string::npos) {
+          it->mIsSilent = true;
+          ++n;
+        }
+      }
+    }
+    return { n, static_cast<int>(mFlows.size()) };
+  }
+
+private:
+  struct Flow
+  {
+    std::string mLastRequest;
+    std::atomic<bool> mIsSilent{ false };
+  };
+
+  void Carry(Connection& aFrom)
+  {
+    const auto to = Connect(mTo);
+    if (!to) {
+      return;
+    }
+    const auto flow = std::make_shared<Flow>();
+    {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      mFlows.insert(flow);
+    }
+    pollfd fds[2] = { { aFrom.Socket(), POLLIN, 0 },
+                      { to->Socket(), POLLIN, 0 } };
+    bool isOpen = true;
+    while (isOpen && poll(fds, 2, -1) > 0) {
+      for (int i = 0; i < 2 && isOpen; ++i) {
+        if (fds[i].revents == 0) {
+          continue;
+        }
+        char buf[16384];
+        const ssize_t n = recv(fds[i].fd, buf, sizeof buf, 0);
+        isOpen = n > 0 || (n < 0 && errno == EINTR);
+        if (n > 0 && !flow->mIsSilent) {
+          const std::string bytes(buf, static_cast<std::size_t>(n));
+          if (i == 0) {
+            const std::lock_guard<std::mutex> lock(mMutex);
+            flow->mLastRequest = bytes;
+          }
+          isOpen = (i == 0 ? *to : aFrom).Write(bytes);
+        }
+      }
+    }
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mFlows.erase(flow);
+  }
+
+  Address mTo;
+  std::mutex mMutex;
+  std::set<std::shared_ptr<Flow>> mFlows;
+  Listener mListener;
+};
+
 /** One machine of the deployment: the daemon, as the deploy file starts it. */
 class Machine
 {
@@ -663,6 +740,7 @@
     return mPid == 0;
   }
   int Status() const { return mStatus; }
+  pid_t Pid() const { return mPid; }
   void Kill(int aSignal)
   {
     if (mPid > 0) {
