--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -4,7 +4,7 @@
 // receipt: once for an idempotent request, once for one that it has run and
 // that isn't idempotent.
 
-#include "harness.h"
+#include "harness.hpp"
 
 using namespace review;
 
--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -3,7 +3,7 @@
 // the third at once and works on the first for 6.6 s. 0.4 s after the requests
 // the machine is stopped in order, with a grace of 6 s.
 
-#include "harness.h"
+#include "harness.hpp"
 
 using namespace review;
 
