Take bytes for a response only if they name the request

What callers saw: a faulty upstream sent well-formed HTTP without the request's id and without a receipt on a connection's first request. A 2xx with the request's own id and no receipt passed on any connection.

Cause: relaying, repeating and refusing rested on a status that nothing tied to the request. The id was compared on reused connections only, the receipt never.

Change: carriage::OwnerOf() says to which request a response belongs, and carriage::Classify() what it shows. A success needs a receipt; 408, 421, 429 and 503 need the upstream's statement; a response that states both shows nothing. What shows nothing ends the attempt as one that may have run. A first request whose response names none fails at once instead of waiting. Load, limit, leaving, Retry-After and the idle limit are taken from responses that name the request only, and health from checks that bear the upstream's id. Each failed attempt is logged.

--- a/packages/base/src/Work.h
+++ b/packages/base/src/Work.h
@@ -49,6 +49,14 @@
   NotStarted,     /**< The upstream reported that it did not start the work. */
 };
 
+/** To which request of its connection a response belongs. */
+enum class ResponseOwner : std::uint8_t
+{
+  Request,        /**< The request that waits for a response. */
+  EarlierRequest, /**< One that was answered before. */
+  None,           /**< No request of the connection. */
+};
+
 /** Id of an attempt at an upstream, unique within a process. */
 using AttemptId = Quantity<struct AttemptIdTag>;
 
--- a/packages/carriage/Carriage.h
+++ b/packages/carriage/Carriage.h
@@ -2,6 +2,8 @@
 
 #include "carriage/src/RequestAction.h"
 
+#include "carriage/src/ResponseEvidence.h"
+
 #include "carriage/src/RequestBody.h"
 
 #include "carriage/src/RequestStateMachine.h"
--- a/packages/carriage/src/RequestStateMachine.h
+++ b/packages/carriage/src/RequestStateMachine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carriage/src/RequestAction.h"
+#include "carriage/src/ResponseEvidence.h"
 
 #include <variant>
 
@@ -15,17 +16,6 @@
   std::uint32_t mMaxAttempts = 1;
 };
 
-/** Classification of a complete response from an upstream. */
-struct ResponseClassification
-{
-  /** Whether the upstream reported that it did not run the request. */
-  bool mIsNotRun = false;
-  /** Whether the request ran and failed; another upstream may succeed. */
-  bool mIsFailure = false;
-  /** Whether the upstream rejected it although it had a free slot. */
-  bool mHadFreeSlot = false;
-};
-
 /** Wait that is proposed to a caller when upstreams without a free slot
  * rejected its request: about the time until slots become free. */
 constexpr base::Duration kFullRetryAfter = std::chrono::milliseconds(300);
--- a/packages/entry/src/Attempt.cpp
+++ b/packages/entry/src/Attempt.cpp
@@ -38,6 +38,15 @@
   if (!mFields.mIsOtherUpstream) {
     ReportUpstream();
   }
+  mClassification =
+    carriage::Classify({ aHead.mStatus, mFields.mHasReceipt,
+                         mFields.mIsNotRun || mFields.mIsOtherUpstream });
+  if (!mClassification) {
+    FailUnproven();
+    return;
+  }
+  mClassification->mHadFreeSlot =
+    mFields.mLoad && mFields.mLoad->mRunning < mFields.mLoad->mSlots.Count();
   if (IsRejection() && aHead.mContentLength &&
       aHead.mContentLength->Count() > kMaxRejectionBodyBytes) {
     EndRejection();
@@ -53,6 +62,22 @@
   }
 }
 
+void Attempt::FailUnproven()
+{
+  const auto observer = std::exchange(mObserver, {}).lock();
+  mExchange->Cancel();
+  if (!observer) {
+    return;
+  }
+  base::LogWarning(base::LogLine("response_unproven")
+                     .With("upstream", mPlace.mUpstream)
+                     .With("status", mHead.mStatus)
+                     .With("receipt", mFields.mHasReceipt)
+                     .With("not_run", mFields.mIsNotRun));
+  mServices.mMetrics.Count("auburnmux_responses_unproven_total");
+  observer->OnAttemptFailed({ http::FailureKind::Malformed, true, {} });
+}
+
 void Attempt::ReportUpstream()
 {
   if (mFields.mIsLeaving) {
--- a/packages/entry/src/Attempt.h
+++ b/packages/entry/src/Attempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carriage/Carriage.h"
 #include "entry/src/Services.h"
 
 #include <functional>
@@ -59,6 +60,12 @@
   const ResponseFields& Fields() const { return mFields; }
   /** \returns whether the response's head has arrived. */
   bool HasHead() const { return mHasHead; }
+  /** \returns what the response shows about the request.
+   * \pre its head has arrived, and OnAttemptFailed() was not called */
+  const carriage::ResponseClassification& Classification() const
+  {
+    return *mClassification;
+  }
 
   void OnHead(const http::ResponseHead& aHead) override;
   void OnBody(std::string_view aPart) override;
@@ -71,10 +78,12 @@
    * that another attempt may follow and the body is not needed. */
   bool IsRejection() const
   {
-    return mFields.mIsNotRun || mFields.mIsOtherUpstream;
+    return mClassification && mClassification->mIsNotRun;
   }
   /** Ends the attempt before the rest of a rejection's body has arrived. */
   void EndRejection();
+  /** Fails the attempt, as its response shows no outcome of the request. */
+  void FailUnproven();
   /** Applies what the head states about the upstream itself. */
   void ReportUpstream();
   /** Logs for how long the upstream wants no requests. */
@@ -90,6 +99,8 @@
   base::TimePoint mStart;
   http::ResponseHead mHead;
   ResponseFields mFields;
+  /** None before the head has arrived, and if it shows no outcome. */
+  std::optional<carriage::ResponseClassification> mClassification;
   std::string mBody;
   buffering::Holding mHolding;
   /** Bytes of a rejection's body that were dropped. */
--- a/packages/entry/src/HealthChecks.cpp
+++ b/packages/entry/src/HealthChecks.cpp
@@ -111,11 +111,14 @@
                              const std::optional<http::ResponseHead>& aHead)
 {
   constexpr int kHealthy = 200;
-  const HealthFields fields =
+  HealthFields fields =
     aHead ? mServices.mTranslator.ReadHealth(*aHead) : HealthFields();
-  const bool isOwn = !fields.mUpstream || *fields.mUpstream == aUpstream;
+  const bool isOwn = fields.mUpstream == aUpstream;
+  if (!isOwn) {
+    fields = HealthFields();
+  }
   const bool isHealthy = isOwn && aHead && aHead->mStatus == kHealthy;
-  if (isOwn && fields.mIsLeaving) {
+  if (fields.mIsLeaving) {
     mServices.mReportLeaving(aUpstream, aSentAt);
   }
   base::LogInfo(base::LogLine("health_checked")
--- a/packages/entry/src/RequestForwarderAttempts.cpp
+++ b/packages/entry/src/RequestForwarderAttempts.cpp
@@ -8,8 +8,6 @@
 
 using placing::Outcome;
 
-constexpr int kFirstServerError = 500;
-
 /** Fraction of the retry budget that stragglers may use; the rest is reserved
  * for retries of failed requests. */
 constexpr double kStragglerBudgetFraction = 0.5;
@@ -119,13 +117,8 @@
 void RequestForwarder::OnAttemptResponse()
 {
   const auto self = shared_from_this();
-  const ResponseFields& fields = mAttempt->Fields();
-  carriage::ResponseClassification meaning;
-  meaning.mIsNotRun = fields.mIsNotRun || fields.mIsOtherUpstream;
-  meaning.mIsFailure = mAttempt->Head().mStatus >= kFirstServerError;
-  meaning.mHadFreeSlot =
-    fields.mLoad && fields.mLoad->mRunning < fields.mLoad->mSlots.Count();
-  if (fields.mIsOtherUpstream) {
+  const carriage::ResponseClassification meaning = mAttempt->Classification();
+  if (mAttempt->Fields().mIsOtherUpstream) {
     EndAttempt(Outcome::Unreachable);
   } else if (meaning.mIsNotRun) {
     EndAttempt(Outcome::Rejected);
@@ -195,6 +188,15 @@
 {
   const base::TimePoint now = mServices.mLoop.Now();
   const base::UpstreamId& upstream = mAttempt->Place().mUpstream;
+  base::LogInfo(
+    base::LogLine("attempt_failed")
+      .With("id", mFields.mId)
+      .With("upstream", upstream)
+      .With("kind", http::FailureName(aFailure.mKind))
+      .With("may_have_run", aFailure.mMayHaveReached)
+      .With("ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                    mAttempt->Elapsed())
+                    .count()));
   const bool isBroken = aFailure.mKind == http::FailureKind::Reset ||
                         aFailure.mKind == http::FailureKind::Truncated;
   if (aFailure.mKind == http::FailureKind::ConnectRefused) {
--- a/packages/entry/src/RequestForwarderSelection.cpp
+++ b/packages/entry/src/RequestForwarderSelection.cpp
@@ -182,10 +182,13 @@
                          : limit->second.MaxIdle(mServices.mLoop.Now());
   }
   request.mConnectTimeout = kConnectTimeout;
-  request.mIsOwnResponse = [translator = &mServices.mTranslator,
+  // Without an id, only a connection of its own shows whose response it is.
+  request.mNeedsFreshConnection = mFields.mId.empty();
+  request.mResponseOwner = [translator = &mServices.mTranslator,
                             id = mFields.mId](const http::ResponseHead& aHead,
                                               bool aIsFirstRequest) {
-    return translator->IsResponseTo(aHead, id, aIsFirstRequest);
+    return carriage::OwnerOf(id, translator->ReadRequestId(aHead),
+                             aIsFirstRequest);
   };
   return request;
 }
--- a/packages/entry/src/Translator.h
+++ b/packages/entry/src/Translator.h
@@ -34,6 +34,8 @@
 /** What the header fields of an upstream state about its response. */
 struct ResponseFields
 {
+  /** The response bears the receipt of a request that the upstream has run. */
+  bool mHasReceipt = false;
   /** The upstream did not and will not run the request. */
   bool mIsNotRun = false;
   /** Another upstream now has the address; it did not run the request. */
@@ -51,6 +53,8 @@
 /** What an upstream states in its response to a health check. */
 struct HealthFields
 {
+  /** The upstream that responds. Without it, nothing shows that the response
+   * comes from an upstream. */
   std::optional<base::UpstreamId> mUpstream;
   base::Duration mColdRemaining{};
   /** The upstream is draining and wants no new requests. */
@@ -76,14 +80,10 @@
                             const std::optional<Sender>& aSender) const = 0;
   virtual ResponseFields ReadResponse(
     const http::ResponseHead& aHead) const = 0;
-  /**
-   * \returns whether the response belongs to the request with \a aId. One
-   * without an id does only if the request is the first one of its connection:
-   * otherwise it may be an earlier response that was sent again.
-   */
-  virtual bool IsResponseTo(const http::ResponseHead& aHead,
-                            const std::string& aId,
-                            bool aIsFirstRequest) const = 0;
+  /** \returns the id of the request that a response names; none if it names
+   * none, or several. */
+  virtual std::optional<std::string> ReadRequestId(
+    const http::ResponseHead& aHead) const = 0;
   virtual HealthFields ReadHealth(const http::ResponseHead& aHead) const = 0;
 };
 
--- a/packages/http/src/Client.cpp
+++ b/packages/http/src/Client.cpp
@@ -20,6 +20,25 @@
 
 } // namespace
 
+const char* FailureName(FailureKind aKind)
+{
+  switch (aKind) {
+    case FailureKind::ConnectRefused:
+      return "connect_refused";
+    case FailureKind::ConnectTimeout:
+      return "connect_timeout";
+    case FailureKind::ConnectFailed:
+      return "connect_failed";
+    case FailureKind::Reset:
+      return "reset";
+    case FailureKind::Truncated:
+      return "truncated";
+    case FailureKind::Malformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
 struct Client::Impl final : HttpClientConnection::Owner
 {
   using Connections = std::vector<std::shared_ptr<HttpClientConnection>>;
--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -30,6 +30,9 @@
   Malformed
 };
 
+/** \returns the name of the kind in log events, e.g. "connect_timeout". */
+const char* FailureName(FailureKind aKind);
+
 /** Describes the failure of an exchange. */
 struct Failure
 {
@@ -104,12 +107,14 @@
   base::Duration mMaxIdle = std::chrono::hours(1);
   base::Duration mConnectTimeout = std::chrono::seconds(2);
   /**
-   * Returns whether a response belongs to this request. Responses to earlier
-   * requests, which an upstream may send late or again, are read and discarded.
-   * There are none on a connection that carries its first request. If unset,
-   * every response is accepted.
+   * Returns to which request a response belongs. Responses to earlier requests,
+   * which a server may send late or again, are read and discarded; the exchange
+   * fails as malformed if a response belongs to no request. A connection that
+   * carries its first request has no earlier ones. If unset, every response is
+   * accepted.
    */
-  std::function<bool(const ResponseHead&, bool aIsFirstRequest)> mIsOwnResponse;
+  std::function<base::ResponseOwner(const ResponseHead&, bool aIsFirstRequest)>
+    mResponseOwner;
 };
 
 /** How an attempt to connect ended. */
--- a/packages/http/src/HttpClientConnection.cpp
+++ b/packages/http/src/HttpClientConnection.cpp
@@ -324,16 +324,23 @@
     return;
   }
   mHasHead = true;
-  if (const auto idle = ParseKeepAliveTimeout(head.mHeaders)) {
-    mIdleLimit = *idle - mOptions.mKeepAliveMargin;
+  const auto& ownerOf = mExchange->Request().mResponseOwner;
+  const base::ResponseOwner owner =
+    ownerOf ? ownerOf(head, mRequests == 1) : base::ResponseOwner::Request;
+  if (owner == base::ResponseOwner::None) {
+    Fail(FailureKind::Malformed);
+    return;
   }
-  const auto& isOwn = mExchange->Request().mIsOwnResponse;
-  mIsForeign = isOwn && !isOwn(head, mRequests == 1);
+  mIsForeign = owner == base::ResponseOwner::EarlierRequest;
   mHasSeenForeignResponse = mHasSeenForeignResponse || mIsForeign;
-  if (!mIsForeign) {
-    const auto exchange = mExchange;
-    exchange->HandleHead(head);
+  if (mIsForeign) {
+    return;
+  }
+  if (const auto idle = ParseKeepAliveTimeout(head.mHeaders)) {
+    mIdleLimit = *idle - mOptions.mKeepAliveMargin;
   }
+  const auto exchange = mExchange;
+  exchange->HandleHead(head);
 }
 
 void HttpClientConnection::OnBodyPart(std::string_view aPart)
--- a/packages/http/test/EndlessBytesTest.cpp
+++ b/packages/http/test/EndlessBytesTest.cpp
@@ -63,9 +63,11 @@
   FetchResult Fetch(const std::string& aMethod = "GET")
   {
     http::ClientRequest request{ { "127.0.0.1", kPort }, aMethod, "/" };
-    request.mIsOwnResponse = [](const http::ResponseHead& aHead,
+    request.mResponseOwner = [](const http::ResponseHead& aHead,
                                 bool /*aIsFirstRequest*/) {
-      return !aHead.mHeaders.Find("foreign");
+      return aHead.mHeaders.Find("foreign")
+               ? base::ResponseOwner::EarlierRequest
+               : base::ResponseOwner::Request;
     };
     FetchResult result;
     http::Fetch(mLoop, mClient, request, {}, 5s,
--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -195,9 +195,9 @@
   CHECK_TRUE(outcome == http::ConnectOutcome::Connected);
   bool isFirst = false;
   http::ClientRequest request{ { kAddress, port } };
-  request.mIsOwnResponse = [&](const http::ResponseHead&, bool aIsFirst) {
+  request.mResponseOwner = [&](const http::ResponseHead&, bool aIsFirst) {
     isFirst = aIsFirst;
-    return true;
+    return base::ResponseOwner::Request;
   };
   CHECK_TRUE(Fetch(request).IsOk());
   CHECK_TRUE(isFirst);
@@ -466,13 +466,34 @@
                    "HTTP/1.1 200 OK\r\nid: new\r\ncontent-length: 5\r\n\r\n"
                    "fresh");
   http::ClientRequest request{ { kAddress, port } };
-  request.mIsOwnResponse = [](const http::ResponseHead& aHead,
+  request.mResponseOwner = [](const http::ResponseHead& aHead,
                               bool /*aIsFirstRequest*/) {
-    return aHead.mHeaders.Find("id") == "new";
+    return aHead.mHeaders.Find("id") == "new"
+             ? base::ResponseOwner::Request
+             : base::ResponseOwner::EarlierRequest;
   };
   STRCMP_EQUAL("fresh", Fetch(request).mBody.c_str());
 }
 
+// Guards against waiting for the response of a server that has sent other bytes
+// in its place.
+TEST(Http, ResponseToNoRequestIsAFailure)
+{
+  const base::PortNumber port(19225);
+  RawServer server(mLoop, port,
+                   "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstale");
+  http::ClientRequest request{ { kAddress, port } };
+  request.mResponseOwner = [](const http::ResponseHead& /*aHead*/,
+                              bool /*aIsFirstRequest*/) {
+    return base::ResponseOwner::None;
+  };
+  const FetchResult result = Fetch(request);
+  CHECK_FALSE(result.mIsTimeout);
+  CHECK_TRUE(result.mFailure.has_value());
+  CHECK_TRUE(result.mFailure->mKind == http::FailureKind::Malformed);
+  CHECK_TRUE(result.mFailure->mMayHaveReached);
+}
+
 // Guards against taking a repeated response for the one to a later request.
 TEST(Http, ResponsesOnReusedConnectionsAreTold)
 {
@@ -480,10 +501,10 @@
   const auto server = Echo(port);
   std::vector<bool> isFirst;
   http::ClientRequest request{ { kAddress, port }, "GET", "/" };
-  request.mIsOwnResponse = [&isFirst](const http::ResponseHead& /*aHead*/,
+  request.mResponseOwner = [&isFirst](const http::ResponseHead& /*aHead*/,
                                       bool aIsFirstRequest) {
     isFirst.push_back(aIsFirstRequest);
-    return true;
+    return base::ResponseOwner::Request;
   };
   CHECK_TRUE(Fetch(request).IsOk());
   CHECK_TRUE(Fetch(request).IsOk());
