Close: leave what crosses it unread, drain refused bodies slowly in a stop

Cause: a lingering close read and dropped all input. A request that crossed the close of an idle connection was so read and lost, where a reset would have told its client that it wasn't read. And a stopping host refuses uploads at their head but read their whole bodies: on a host with 10 Mbit/s, 20 refused uploads of some 60 KB a second filled the link, responses of upstreams waited behind them, and connections to upstreams timed out.

Change: the close of an idle connection handles a request that has arrived and leaves later ones unread.

--- a/packages/http/src/HttpServerConnection.cpp
+++ b/packages/http/src/HttpServerConnection.cpp
@@ -9,9 +9,9 @@
 // Maximum reads from one connection in one iteration of the event loop.
 constexpr int kMaxReadsPerIteration = 4;
 
-// Maximum duration of a lingering close, which discards input until the peer
-// closes. Closing with unread input would reset the connection, and the peer
-// could lose the response.
+// Maximum duration of a lingering close, which waits until the peer closes.
+// Closing with unread input resets the connection, and the peer could lose the
+// response.
 constexpr base::Duration kLingerTimeout = std::chrono::seconds(2);
 
 bool HasBody(const RequestHead& aHead)
@@ -40,6 +40,8 @@
   if (mIsLingering) {
     if (age > kLingerTimeout) {
       Close();
+    } else if (mDrainsBody) {
+      DrainSlowly();
     }
   } else if (mIsReadingHead && !MayRead()) {
     mPhaseStart = aNow; // the rest of the head may have arrived
@@ -47,14 +49,20 @@
     if (age > mOwner.Limits().mHeadTimeout) {
       RefuseHead(408, "the request head did not arrive in time");
     }
-  } else if (mExchanges.IsEmpty() && age > mOwner.Limits().mIdleTimeout) {
-    BeginLingeringClose();
+  } else if (age > mOwner.Limits().mIdleTimeout) {
+    CloseIfIdle();
   }
 }
 
 void HttpServerConnection::CloseIfIdle()
 {
-  if (mExchanges.IsEmpty() && !mIsReadingHead && !mIsLingering) {
+  if (!IsIdle()) {
+    return;
+  }
+  const auto self = shared_from_this();
+  mMayHaveUnread = true;
+  Process(); // a request may have arrived
+  if (mStream.IsOpen() && IsIdle()) {
     BeginLingeringClose();
   }
 }
@@ -143,7 +151,10 @@
 
 bool HttpServerConnection::MayRead() const
 {
-  if (mIsLingering || mExchanges.IsEmpty()) {
+  if (mIsLingering) {
+    return mDrainsBody && !mOwner.ClosesAfterResponses();
+  }
+  if (mExchanges.IsEmpty()) {
     return true;
   }
   const ServerExchangeImpl& last = *mExchanges.Last();
@@ -151,7 +162,9 @@
     return false;
   }
   if (IsReadingBody()) {
-    return !last.IsPaused();
+    const bool isDiscarded =
+      last.IsFinished() && last.ClosesAfter() && mOwner.ClosesAfterResponses();
+    return !isDiscarded && !last.IsPaused();
   }
   return mOwner.ReadsAhead() && !last.ClosesAfter() && !mExchanges.IsFull();
 }
@@ -336,6 +349,7 @@
 void HttpServerConnection::RespondRefused(ServerExchangeImpl& aExchange,
                                           int aStatus, std::string_view aReason)
 {
+  mDrainsBody = true;
   aExchange.HandleStarted();
   aExchange.HandleBodyEnd(); // nothing more is read for it
   aExchange.CloseAfterResponse();
@@ -410,6 +424,7 @@
   }
   if (exchange->ClosesAfter() || (mIsCut && mExchanges.IsEmpty())) {
     EndExchanges();
+    mDrainsBody = mDrainsBody || !exchange->IsBodyEnded();
     BeginLingeringClose();
   } else {
     mExchanges.StartTurn();
@@ -425,4 +440,19 @@
   ReadSoon();
 }
 
+void HttpServerConnection::DrainSlowly()
+{
+  std::string discarded;
+  auto result = TcpStream::ReadResult::Data;
+  for (int i = 0;
+       i < kMaxReadsPerIteration && result == TcpStream::ReadResult::Data;
+       ++i) {
+    result = mStream.Read(discarded);
+  }
+  if (result == TcpStream::ReadResult::End ||
+      result == TcpStream::ReadResult::Broken) {
+    Close();
+  }
+}
+
 } // namespace auburnmux::http::internal
--- a/packages/http/src/HttpServerConnection.h
+++ b/packages/http/src/HttpServerConnection.h
@@ -45,7 +45,7 @@
 
   /** Refuses the request or closes the connection if a timeout expired. */
   void CheckTimeouts(base::TimePoint aNow);
-  /** Closes the connection if it carries no request. */
+  /** Closes the connection if it carries no request, and none has arrived. */
   void CloseIfIdle();
   /** Closes the connection after the response to the last request that was
    * read, if one is unanswered. */
@@ -85,6 +85,11 @@
 
 private:
   bool MayRead() const;
+  /** \returns whether the connection is open and carries no request. */
+  bool IsIdle() const
+  {
+    return mExchanges.IsEmpty() && !mIsReadingHead && !mIsLingering;
+  }
   /** \returns whether the body of the last request is incomplete. */
   bool IsReadingBody() const;
   void Process();
@@ -101,13 +106,25 @@
   /** Ends the last exchange because the rest of its body is unacceptable. */
   void RefuseBody(int aStatus, std::string_view aReason);
   /** Answers a refused request, and closes the connection after it. */
-  static void RespondRefused(ServerExchangeImpl& aExchange, int aStatus,
-                             std::string_view aReason);
+  void RespondRefused(ServerExchangeImpl& aExchange, int aStatus,
+                      std::string_view aReason);
   void FlushNow();
   /** Ends the first exchange; the next one has its turn. */
   void CompleteExchange();
   void EndExchanges();
+  /**
+   * Ends the sending direction and waits for the client to close. A request
+   * that the client sent before it noticed stays unread, so that it is not
+   * taken for one that may have run.
+   */
   void BeginLingeringClose();
+  /**
+   * Discards a part of the input in the lingering close of a stopping server. A
+   * client that writes a whole body before it reads the response gets on; a
+   * server that read all bodies of refused requests at once would fill its link
+   * with them, and the responses that it waits for would be late.
+   */
+  void DrainSlowly();
 
   Owner& mOwner;
   TcpStream mStream;
@@ -131,6 +148,9 @@
   bool mIsCut = false;
   bool mMayHaveUnread = true;
   bool mIsLingering = false;
+  /** Whether the client may still be sending a request that was answered or
+   * refused, which is discarded in the lingering close. */
+  bool mDrainsBody = false;
   bool mIsFlushPosted = false;
   bool mIsReadPosted = false;
 };
--- a/packages/http/test/support/LoopbackSocket.h
+++ b/packages/http/test/support/LoopbackSocket.h
@@ -17,8 +17,10 @@
 {
 public:
   /** \returns a listening socket. \param aReceiveBuffer receive buffer size of
-   * its connections in bytes; 0 for the system's default */
-  static LoopbackSocket Listen(base::PortNumber aPort, int aReceiveBuffer = 0)
+   * its connections in bytes; 0 for the system's default \param aBacklog
+   * connections that it holds before they are accepted */
+  static LoopbackSocket Listen(base::PortNumber aPort, int aReceiveBuffer = 0,
+                               int aBacklog = 64)
   {
     LoopbackSocket it;
     const int on = 1;
@@ -31,7 +33,7 @@
     it.mIsOpen =
       bind(it.mDescriptor, reinterpret_cast<const sockaddr*>(&address),
            sizeof address) == 0 &&
-      listen(it.mDescriptor, 64) == 0;
+      listen(it.mDescriptor, aBacklog) == 0;
     return it;
   }
   static LoopbackSocket Connect(base::PortNumber aPort)
@@ -67,6 +69,25 @@
     return send(mDescriptor, aBytes.data(), aBytes.size(), MSG_NOSIGNAL) ==
            static_cast<ssize_t>(aBytes.size());
   }
+  /** \returns how many of the bytes were written without waiting. */
+  std::size_t SendAvailable(const std::string& aBytes) const
+  {
+    const ssize_t n = send(mDescriptor, aBytes.data(), aBytes.size(),
+                           MSG_NOSIGNAL | MSG_DONTWAIT);
+    return n > 0 ? static_cast<std::size_t>(n) : 0;
+  }
+  void SetSendBuffer(int aBytes) const
+  {
+    setsockopt(mDescriptor, SOL_SOCKET, SO_SNDBUF, &aBytes, sizeof aBytes);
+  }
+  /** \returns whether the peer has reset the connection. */
+  bool IsReset() const
+  {
+    int error = 0;
+    socklen_t length = sizeof error;
+    getsockopt(mDescriptor, SOL_SOCKET, SO_ERROR, &error, &length);
+    return error == ECONNRESET || error == EPIPE;
+  }
   /** Appends the bytes that have arrived to \a aOut, without waiting for more.
    * \returns whether the connection is still open. */
   bool ReadAvailable(std::string& aOut) const
