Planned stop: end open requests with a response before the exit

A request that was open at the end of the grace met a closed connection.

Cause: the exit closed all connections; nothing ended the open requests.

Change: a twelfth of the grace before the others, requests are ended for which finished responses of their connection wait; 0.3 s before the end of the grace all open ones. What may have run gets a 502, what was not sent a 503. The process exits once clients have acknowledged all responses, at the latest 0.15 s before the end of the grace (0.3 s until now). The plan is fixed at the signal. In daemon, the drain limit and a second signal end requests the same way; they were cut without an answer.

--- a/packages/carriage/src/RequestStateMachine.cpp
+++ b/packages/carriage/src/RequestStateMachine.cpp
@@ -196,6 +196,26 @@
   return { Refuse{ Reason::DeadlineExceededUnsent, {} } };
 }
 
+RequestActions RequestStateMachine::OnStopping(bool aMayHaveReached,
+                                               base::Duration aRetryAfter)
+{
+  if (Is<Ended>()) {
+    return {};
+  }
+  RequestActions actions;
+  if (Is<Attempting>() || Is<Streaming>()) {
+    mMayHaveRun = mMayHaveRun || aMayHaveReached;
+    actions.emplace_back(CancelAttempt{});
+  }
+  mPhase = Ended{};
+  if (mMayHaveRun) {
+    actions.emplace_back(Fail{ Reason::Stopping });
+  } else {
+    actions.emplace_back(Refuse{ Reason::Stopping, aRetryAfter });
+  }
+  return actions;
+}
+
 RequestActions RequestStateMachine::OnCallerGone()
 {
   const bool isSent = Is<Attempting>() || Is<Streaming>();
--- a/packages/carriage/src/RequestStateMachine.h
+++ b/packages/carriage/src/RequestStateMachine.h
@@ -66,6 +66,12 @@
   void OnAttemptReplaced();
   /** The deadline of the request passed. */
   RequestActions OnDeadlineExceeded();
+  /**
+   * The host is about to exit and needs an end of the request now.
+   * \param aMayHaveReached whether any byte of the request may have reached the
+   * upstream of the attempt in progress
+   */
+  RequestActions OnStopping(bool aMayHaveReached, base::Duration aRetryAfter);
   RequestActions OnCallerGone();
 
   bool IsEnded() const { return std::holds_alternative<Ended>(mPhase); }
--- a/packages/carriage/test/RequestStateMachineTest.cpp
+++ b/packages/carriage/test/RequestStateMachineTest.cpp
@@ -67,7 +67,7 @@
     const int steps = *rc::gen::inRange(1, 25);
     for (int i = 0; i < steps; ++i) {
       harness.mHasResponse = false;
-      switch (*rc::gen::inRange(0, 10)) {
+      switch (*rc::gen::inRange(0, 11)) {
         case 0:
           harness.Do(harness.mMachine.OnReadyToSend());
           break;
@@ -117,6 +117,12 @@
           harness.mRuns += harness.mIsAttemptOpen ? 1 : 0;
           harness.Do(harness.mMachine.OnDeadlineExceeded());
           break;
+        case 9: {
+          const bool mayHaveReached = *rc::gen::arbitrary<bool>();
+          harness.mRuns += harness.mIsAttemptOpen && mayHaveReached ? 1 : 0;
+          harness.Do(harness.mMachine.OnStopping(mayHaveReached, {}));
+          break;
+        }
         default:
           harness.mRuns += harness.mIsAttemptOpen ? 1 : 0;
           harness.mIsCallerGone =
--- a/packages/daemon/src/GracefulStop.cpp
+++ b/packages/daemon/src/GracefulStop.cpp
@@ -15,6 +15,9 @@
 // sent just before.
 constexpr base::Duration kLastRequestTimeout = std::chrono::milliseconds(500);
 
+// Time for the last responses to reach their callers.
+constexpr base::Duration kDeliveryTime = std::chrono::milliseconds(200);
+
 } // namespace
 
 GracefulStop::GracefulStop(const DaemonContext& aContext,
@@ -53,7 +56,7 @@
   signalfd_siginfo info{};
   while (read(mSignalFd, &info, sizeof info) == sizeof info) {
     if (std::exchange(mIsLeaving, true)) {
-      End();
+      EndRequests();
     } else {
       Begin();
     }
@@ -67,27 +70,43 @@
                                               mServiceManager.OpenRequests()));
   mCluster.StartLeaving();
   mOnLeaving();
-  mServiceManager.SetExitTime(mBegin + mContext.mSettings.mDrainLimit);
+  mServiceManager.SetExitTime(mBegin + mContext.mSettings.mDrainLimit -
+                              kDeliveryTime);
   mServer.CloseAfterResponses();
   mContext.mLoop.Every(kTickInterval, [this] { OnTick(); });
 }
 
 void GracefulStop::OnTick()
 {
-  const base::Duration elapsed = mContext.mLoop.Now() - mBegin;
-  const bool isIdle =
-    mServiceManager.OpenRequests() == 0 && mServer.ActiveExchanges() == 0;
-  if ((isIdle && elapsed >= mLookupLifetime + kLastRequestTimeout) ||
-      elapsed >= mContext.mSettings.mDrainLimit) {
+  const base::TimePoint now = mContext.mLoop.Now();
+  const base::Duration elapsed = now - mBegin;
+  if (elapsed >= mContext.mSettings.mDrainLimit - kDeliveryTime) {
+    EndRequests();
+  }
+  const bool isDelivered = mServer.ActiveExchanges() == 0 &&
+                           mServer.UnacknowledgedBytes() == base::ByteCount(0);
+  const bool isIdle = mServiceManager.OpenRequests() == 0 && isDelivered;
+  const bool isLate = mRequestsEndedAt &&
+                      (isDelivered || now >= *mRequestsEndedAt + kDeliveryTime);
+  if (isLate || (isIdle && elapsed >= mLookupLifetime + kLastRequestTimeout)) {
     End();
   }
 }
 
+void GracefulStop::EndRequests()
+{
+  if (!mRequestsEndedAt) {
+    mRequestsEndedAt = mContext.mLoop.Now();
+    mRequestsCut = mServiceManager.OpenRequests();
+    mServer.RequestResponses(http::ResponseScope::All);
+  }
+}
+
 void GracefulStop::End()
 {
   base::LogInfo(
     base::LogLine("left")
-      .With("requests_cut", mServiceManager.OpenRequests())
+      .With("requests_cut", mRequestsCut)
       .With("drain_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                           mContext.mLoop.Now() - mBegin)
                           .count()));
--- a/packages/daemon/src/GracefulStop.h
+++ b/packages/daemon/src/GracefulStop.h
@@ -6,7 +6,9 @@
 
 #include "http/Http.h"
 
+#include <cstddef>
 #include <functional>
+#include <optional>
 
 namespace auburnmux::daemon {
 
@@ -14,7 +16,8 @@
  * Drains and stops the daemon on SIGTERM or SIGINT. Look-ups stop listing this
  * host, peers see it as leaving, connections close after their responses, and
  * the loop ends when requests in flight have finished and cached look-ups have
- * expired. A second signal or the drain limit stops the loop earlier.
+ * expired. A second signal or the drain limit stops the loop earlier; the
+ * requests that are open then get a last response.
  */
 class GracefulStop
 {
@@ -38,6 +41,8 @@
   void OnSignal();
   void Begin();
   void OnTick();
+  /** Ends the open requests, each with a response. */
+  void EndRequests();
   void End();
 
   const DaemonContext& mContext;
@@ -49,6 +54,9 @@
   base::Duration mLookupLifetime = std::chrono::seconds(5);
   bool mIsLeaving = false;
   base::TimePoint mBegin;
+  /** When the open requests were ended. */
+  std::optional<base::TimePoint> mRequestsEndedAt;
+  std::size_t mRequestsCut = 0;
 };
 
 } // namespace auburnmux::daemon
--- a/packages/daemon/src/RequestForwarder.cpp
+++ b/packages/daemon/src/RequestForwarder.cpp
@@ -474,20 +474,42 @@
   if (mCommittedAttempt != nullptr) {
     return; // the response is being relayed; the stall timeout limits it
   }
-  const bool hasRunning =
+  const Refusal refusal{ 504, OutcomeSoFar(), "the deadline passed",
+                         std::nullopt };
+  EndWithoutResponse(refusal);
+}
+
+void RequestForwarder::OnResponseDue()
+{
+  if (mIsFinished || mIsAnswered || mCommittedAttempt != nullptr) {
+    return;
+  }
+  const auto self = shared_from_this();
+  const base::WorkOutcome outcome = OutcomeSoFar();
+  const bool hasNotRun = outcome == base::WorkOutcome::NotRun;
+  EndWithoutResponse({ hasNotRun ? 503 : 502, outcome, "this host is stopping",
+                       hasNotRun ? std::optional(kRetryAfter) : std::nullopt });
+}
+
+base::WorkOutcome RequestForwarder::OutcomeSoFar() const
+{
+  const bool mayHaveRun =
     mMayHaveRun ||
     std::any_of(mAttempts.begin(), mAttempts.end(),
                 [](const auto& aIt) { return aIt->MayHaveReached(); });
-  Refusal refusal{ 504,
-                   hasRunning ? base::WorkOutcome::NotKnown
-                              : base::WorkOutcome::NotRun,
-                   "the deadline passed", std::nullopt };
-  if (IsNonIdempotent() && hasRunning && !mAttempts.empty()) {
-    mIsAnswered = true;
-    SendRefusal(*mExchange, refusal);
+  return mayHaveRun ? base::WorkOutcome::NotKnown : base::WorkOutcome::NotRun;
+}
+
+void RequestForwarder::EndWithoutResponse(const Refusal& aRefusal)
+{
+  const bool isRunning =
+    aRefusal.mOutcome == base::WorkOutcome::NotKnown && !mAttempts.empty();
+  if (IsNonIdempotent() && isRunning) {
+    mIsAnswered = true; // the attempts run on so that the outcome is recorded
+    SendRefusal(*mExchange, aRefusal);
     return;
   }
-  Refuse(refusal);
+  Refuse(aRefusal);
 }
 
 void RequestForwarder::OnCallerWritable()
--- a/packages/daemon/src/RequestForwarder.h
+++ b/packages/daemon/src/RequestForwarder.h
@@ -65,6 +65,8 @@
   void OnRequestEnd();
   void OnCallerWritable();
   void OnCallerGone();
+  /** The host is about to exit: the caller gets a response now. */
+  void OnResponseDue();
 
   void OnAttemptHead(UpstreamAttempt& aAttempt) override;
   void OnAttemptBody(UpstreamAttempt& aAttempt,
@@ -111,6 +113,11 @@
   void MaybeHedge(base::TimePoint aNow);
   bool CheckStalls(base::TimePoint aNow);
   void OnDeadline(base::TimePoint aNow);
+  /** \returns what can be said now about the outcome of the request. */
+  base::WorkOutcome OutcomeSoFar() const;
+  /** Ends the request without a response of an upstream. Attempts at work that
+   * isn't idempotent run on, so that their outcome is recorded. */
+  void EndWithoutResponse(const Refusal& aRefusal);
 
   void ReportUpstreamSignals(const UpstreamAttempt& aAttempt);
   void CommitTo(UpstreamAttempt& aAttempt);
--- a/packages/daemon/src/ServiceRuntime.cpp
+++ b/packages/daemon/src/ServiceRuntime.cpp
@@ -29,6 +29,7 @@
   }
   void OnBodyEnd() override { mForwarder->OnRequestEnd(); }
   void OnWritable() override { mForwarder->OnCallerWritable(); }
+  void OnResponseDue() override { mForwarder->OnResponseDue(); }
   void OnClosed(bool /*aIsComplete*/) override { mForwarder->OnCallerGone(); }
 
 private:
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -113,6 +113,9 @@
   /** Records by how much the event loop is late. */
   void RecordLoopLateness();
   void OnTick();
+  void BeginStop(std::function<void()> aDone);
+  /** Takes the steps of the stop plan that are due. */
+  void ContinueStop();
   /** Closes idle clients while the host holds as much as it may, and updates
    * what is in flight to upstreams. */
   void BoundHeldBytes();
@@ -167,7 +170,12 @@
   bool mHasUpstreams = false;
   /** When the configuration came into force here. */
   base::TimePoint mConfigSince;
+  // Set once the host was told to stop. Settings that are read later don't
+  // change the plan.
+  std::optional<StopPlan> mStopPlan;
   std::optional<base::TimePoint> mStopStart;
+  std::vector<http::Loop::TimerId> mStopTimers;
+  /** Unset again once it was called. */
   std::function<void()> mOnStopped;
   /** The host that last announced a newer configuration than the own one. */
   http::Endpoint mNewerVersionAt;
@@ -434,7 +442,7 @@
         .With(
           "ms",
           std::chrono::duration_cast<std::chrono::milliseconds>(late).count())
-        .With("open_requests", mServices.mOpenRequests));
+        .With("open_requests", mServices.mRequests.size()));
   }
 }
 
@@ -445,19 +453,46 @@
   mChecks.OnTick();
   ReportNewerVersion();
   BoundHeldBytes();
-  if (!mStopStart) {
+  ContinueStop();
+}
+
+void EntryNode::Impl::BeginStop(std::function<void()> aDone)
+{
+  mServices.mIsStopping = true;
+  mStopPlan.emplace(mSettings.mStopGrace);
+  mStopStart = mLoop.Now();
+  mServices.mExitAt = *mStopStart + mStopPlan->EndRequestsAfter();
+  mOnStopped = std::move(aDone);
+  mCluster.StartLeaving();
+  mFront.CloseAfterResponses();
+  for (const base::Duration it :
+       { mStopPlan->UnblockAfter(), mStopPlan->EndRequestsAfter(),
+         mStopPlan->ExitAfter() }) {
+    mStopTimers.push_back(mLoop.After(it, [this] { ContinueStop(); }));
+  }
+}
+
+void EntryNode::Impl::ContinueStop()
+{
+  if (!mOnStopped) {
     return;
   }
-  const StopPlan plan(mSettings.mStopGrace);
   const base::Duration elapsed = mLoop.Now() - *mStopStart;
-  if (plan.RefusesRequests(elapsed)) {
+  if (mStopPlan->RefusesRequests(elapsed)) {
     mServices.mRefusesRequests = true;
     mFront.StopListening();
     mFront.CloseIdle();
   }
-  if (plan.ShouldExit(elapsed, IsWorkLeft())) {
-    mStopStart.reset();
-    mOnStopped();
+  if (elapsed >= mStopPlan->UnblockAfter()) {
+    mFront.RequestResponses(elapsed >= mStopPlan->EndRequestsAfter()
+                              ? http::ResponseScope::All
+                              : http::ResponseScope::Blocking);
+  }
+  if (mStopPlan->ShouldExit(elapsed, IsWorkLeft())) {
+    for (const RequestForwarder* it : mServices.mRequests) {
+      it->LogCut();
+    }
+    std::exchange(mOnStopped, nullptr)();
   }
 }
 
@@ -525,7 +560,8 @@
 
 bool EntryNode::Impl::IsWorkLeft() const
 {
-  return mServices.mOpenRequests > 0 || mFront.ActiveExchanges() > 0;
+  return !mServices.mRequests.empty() || mFront.ActiveExchanges() > 0 ||
+         mFront.UnacknowledgedBytes() > base::ByteCount(0);
 }
 
 base::Duration EntryNode::Impl::LongestColdTime() const
@@ -553,6 +589,9 @@
 EntryNode::~EntryNode()
 {
   mImpl->mLoop.Cancel(mImpl->mTick);
+  for (const http::Loop::TimerId it : mImpl->mStopTimers) {
+    mImpl->mLoop.Cancel(it);
+  }
   mImpl->mLoop.Cancel(mImpl->mCountTimer);
 }
 
@@ -618,13 +657,7 @@
   if (mImpl->mServices.mIsStopping) {
     return;
   }
-  mImpl->mServices.mIsStopping = true;
-  mImpl->mStopStart = mImpl->mLoop.Now();
-  mImpl->mServices.mExitAt =
-    *mImpl->mStopStart + StopPlan(mImpl->mSettings.mStopGrace).ExitAfter();
-  mImpl->mOnStopped = std::move(aDone);
-  mImpl->mCluster.StartLeaving();
-  mImpl->mFront.CloseAfterResponses();
+  mImpl->BeginStop(std::move(aDone));
 }
 
 void EntryNode::AnnounceState(membership::StateSummary aState)
--- a/packages/entry/src/RequestForwarder.cpp
+++ b/packages/entry/src/RequestForwarder.cpp
@@ -24,6 +24,7 @@
   void OnBody(std::string_view aPart) override { mForwarder->OnBody(aPart); }
   void OnBodyEnd() override { mForwarder->OnBodyEnd(); }
   void OnWritable() override { mForwarder->OnWritable(); }
+  void OnResponseDue() override { mForwarder->OnResponseDue(); }
   void OnClosed(bool aIsComplete) override
   {
     mForwarder->OnClosed(aIsComplete);
@@ -70,12 +71,12 @@
   , mBody(aServices.mHoldPolicy.Settings().mBodyBound.Count(), aServices.mHeld)
   , mBodyArrived(mArrived)
 {
-  ++mServices.mOpenRequests;
+  mServices.mRequests.insert(this);
 }
 
 RequestForwarder::~RequestForwarder()
 {
-  --mServices.mOpenRequests;
+  mServices.mRequests.erase(this);
   LeaveQuota();
   GiveBackToken();
   if (mIsLargeBody) {
--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -51,6 +51,7 @@
   void OnBody(std::string_view aPart);
   void OnBodyEnd();
   void OnWritable();
+  void OnResponseDue();
   void OnClosed(bool aIsComplete);
 
   /** \returns the body that the request still waits for, and when a part of it
@@ -61,6 +62,10 @@
   /** Updates how much of a large body is in flight to the upstream. */
   void UpdateBodyInFlight();
 
+  /** Logs that the host exits before the request has ended, and what it waits
+   * for. */
+  void LogCut() const;
+
   // Events of the attempt.
   void OnAttemptResponse() override;
   void OnAttemptStreaming() override;
@@ -139,6 +144,8 @@
   /** Logs that the attempt is replaced by one at \a aTo. */
   void LogStraggler(const base::UpstreamId& aTo);
   void LogEnd(std::string_view aOutcome, int aStatus);
+  /** \returns what the request waits for, as a name in log events. */
+  std::string_view WaitsFor() const;
   void StopTimer();
   void StopStragglerTimer();
 
--- a/packages/entry/src/RequestForwarderResponses.cpp
+++ b/packages/entry/src/RequestForwarderResponses.cpp
@@ -110,6 +110,16 @@
   mExchange->Respond(status, {}, "");
 }
 
+void RequestForwarder::OnResponseDue()
+{
+  if (mStateMachine && !mStateMachine->IsEnded()) {
+    LogCut();
+    Execute(mStateMachine->OnStopping(mIsAttemptOpen &&
+                                        mAttempt->Exchange().MayHaveReached(),
+                                      kStoppingRetryAfter));
+  }
+}
+
 void RequestForwarder::OnClosed(bool aIsComplete)
 {
   if (mStateMachine && !mStateMachine->IsEnded()) {
@@ -162,12 +172,46 @@
                            { { "outcome", std::string(aOutcome) } });
 }
 
+std::string_view RequestForwarder::WaitsFor() const
+{
+  if (mIsAnswered) {
+    return "client"; // to read the response, or earlier ones
+  }
+  if (mIsAttemptOpen) {
+    return "upstream";
+  }
+  if (mQuotaWaiter) {
+    return "quota";
+  }
+  return mTicket ? "slot" : "body";
+}
+
+void RequestForwarder::LogCut() const
+{
+  base::LogLine line("request_cut");
+  line.With("id", mFields.mId)
+    .With("waits_for", WaitsFor())
+    .With("ms", Milliseconds(mServices.mLoop.Now() - mArrived))
+    .With("body", mBody.Size())
+    .With("body_complete", mBody.IsComplete())
+    .With("client_pending", mExchange->PendingBytes());
+  if (mIsAttemptOpen) {
+    line.With("upstream", mAttempt->Place().mUpstream)
+      .With("attempt_ms", Milliseconds(mAttempt->Elapsed()))
+      .With("has_head", mAttempt->HasHead())
+      .With("unacknowledged", mAttempt->Exchange().UnacknowledgedBytes());
+  }
+  base::LogWarning(line);
+}
+
 void RequestForwarder::LogCancelled(placing::Outcome aOutcome)
 {
   const bool isStraggler = aOutcome == placing::Outcome::Replaced;
   const std::string_view reason = isStraggler             ? "straggler"
                                   : mExchange->IsClosed() ? "client_gone"
-                                                          : "time_up";
+                                  : TimeLeft() > base::Duration::zero()
+                                    ? "stopping"
+                                    : "time_up";
   const auto unacknowledged = mAttempt->Exchange().UnacknowledgedBytes();
   base::LogInfo(base::LogLine("attempt_cancelled")
                   .With("id", mFields.mId)
--- a/packages/entry/src/Services.h
+++ b/packages/entry/src/Services.h
@@ -71,7 +71,7 @@
   bool mIsStopping = false;
   /** When this host exits; unset until it is told to stop. */
   std::optional<base::TimePoint> mExitAt{};
-  std::size_t mOpenRequests = 0;
+  std::set<RequestForwarder*> mRequests{};
 
   /** \returns whether a route or a key that is missing in the configuration
    * doesn't exist, as no newer version is likely to be in force elsewhere. */
--- a/packages/entry/test/StopPlanTest.cpp
+++ b/packages/entry/test/StopPlanTest.cpp
@@ -25,6 +25,20 @@
   }
 }
 
+// Guards against breaking off requests at which upstreams may be at work for
+// the sake of others, and against leaving no time to deliver those.
+TEST(StopPlan, EndsRequestsLateAndLeavesTimeToDeliver)
+{
+  for (const seconds grace : { seconds(6), seconds(10), seconds(30) }) {
+    const StopPlan plan(grace);
+    CHECK_TRUE(plan.UnblockAfter() >= grace * 5 / 6);
+    CHECK_TRUE(plan.EndRequestsAfter() - plan.UnblockAfter() >=
+               milliseconds(500));
+    CHECK_TRUE(plan.ExitAfter() - plan.EndRequestsAfter() >= milliseconds(100));
+    CHECK_TRUE(plan.ExitAfter() < grace);
+  }
+}
+
 TEST(StopPlan, ExitsWhenIdleOrJustBeforeTheEndOfTheGracePeriod)
 {
   const StopPlan plan(seconds(6));
--- a/packages/http/src/ExchangeQueue.cpp
+++ b/packages/http/src/ExchangeQueue.cpp
@@ -1,6 +1,7 @@
 #include "http/src/ExchangeQueue.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace auburnmux::http::internal {
@@ -79,4 +80,21 @@
            std::make_move_iterator(all.end()) };
 }
 
+std::vector<ExchangeQueue::ExchangePtr> ExchangeQueue::Unanswered(
+  ResponseScope aScope) const
+{
+  auto end = mExchanges.end();
+  if (aScope == ResponseScope::Blocking) {
+    end =
+      std::find_if(mExchanges.rbegin(), mExchanges.rend(), [](const auto& aIt) {
+        return aIt->IsFinished();
+      }).base();
+  }
+  std::vector<ExchangePtr> unanswered;
+  std::copy_if(
+    mExchanges.begin(), end, std::back_inserter(unanswered),
+    [](const auto& aIt) { return aIt->IsStarted() && !aIt->IsHeadSent(); });
+  return unanswered;
+}
+
 } // namespace auburnmux::http::internal
--- a/packages/http/src/ExchangeQueue.h
+++ b/packages/http/src/ExchangeQueue.h
@@ -47,6 +47,8 @@
   /** Removes \a aExchange and those behind it. */
   std::vector<ExchangePtr> TakeFrom(const ServerExchangeImpl& aExchange);
   std::vector<ExchangePtr> TakeAll();
+  /** \returns the exchanges in \a aScope. */
+  std::vector<ExchangePtr> Unanswered(ResponseScope aScope) const;
 
 private:
   std::deque<ExchangePtr> mExchanges;
--- a/packages/http/src/HttpServerConnection.cpp
+++ b/packages/http/src/HttpServerConnection.cpp
@@ -74,6 +74,14 @@
   }
 }
 
+void HttpServerConnection::RequestResponses(ResponseScope aScope)
+{
+  const auto self = shared_from_this();
+  for (const auto& it : mExchanges.Unanswered(aScope)) {
+    it->HandleResponseDue();
+  }
+}
+
 void HttpServerConnection::Close()
 {
   if (!mStream.IsOpen()) {
--- a/packages/http/src/HttpServerConnection.h
+++ b/packages/http/src/HttpServerConnection.h
@@ -50,6 +50,13 @@
   /** Closes the connection after the response to the last request that was
    * read, if one is unanswered. */
   void CloseAfterResponses();
+  /** Asks for responses that have not begun. */
+  void RequestResponses(ResponseScope aScope);
+  /** \returns the number of bytes that the client has not acknowledged. */
+  std::size_t UnacknowledgedBytes() const
+  {
+    return mStream.UnacknowledgedBytes();
+  }
   /** \returns the number of open exchanges. */
   std::size_t ExchangeCount() const { return mExchanges.Size(); }
   int Descriptor() const { return mDescriptor; }
--- a/packages/http/src/Server.cpp
+++ b/packages/http/src/Server.cpp
@@ -186,6 +186,22 @@
   }
 }
 
+void Server::RequestResponses(ResponseScope aScope)
+{
+  for (const auto& it : mImpl->Connections()) {
+    it->RequestResponses(aScope);
+  }
+}
+
+base::ByteCount Server::UnacknowledgedBytes() const
+{
+  std::size_t n = 0;
+  for (const auto& [key, connection] : mImpl->mConnections) {
+    n += connection->UnacknowledgedBytes();
+  }
+  return base::ByteCount(n);
+}
+
 void Server::CloseIdle()
 {
   for (const auto& it : mImpl->Connections()) {
--- a/packages/http/src/Server.h
+++ b/packages/http/src/Server.h
@@ -45,6 +45,9 @@
   virtual void OnBodyEnd() = 0;
   /** All data passed to SendBody() was written to the socket. */
   virtual void OnWritable() {}
+  /** The response, of which nothing was sent yet, is needed now: the server is
+   * about to end, and later ones can't be delivered. */
+  virtual void OnResponseDue() {}
   /**
    * The exchange has ended. \a aIsComplete tells whether the complete response
    * was written to the socket. No other call follows.
@@ -94,6 +97,14 @@
   buffering::HeldClient mHeld;
 };
 
+/** Which of the responses that have not begun are requested. */
+enum class ResponseScope
+{
+  /** Those for which finished responses of their connection wait. */
+  Blocking,
+  All
+};
+
 /** Observes when connections of a Server are opened and closed. */
 class ConnectionObserver
 {
@@ -135,6 +146,11 @@
    * a later one.
    */
   void CloseAfterResponses();
+  /** Asks for responses that have not begun, see
+   * RequestObserver::OnResponseDue(). */
+  void RequestResponses(ResponseScope aScope);
+  /** \returns the number of bytes that clients have not acknowledged. */
+  base::ByteCount UnacknowledgedBytes() const;
   /** Closes the connections without an open request. */
   void CloseIdle();
   /** Refuses new connections from now on. */
--- a/packages/http/src/ServerExchangeImpl.cpp
+++ b/packages/http/src/ServerExchangeImpl.cpp
@@ -244,6 +244,13 @@
   }
 }
 
+void ServerExchangeImpl::HandleResponseDue()
+{
+  if (mObserver && !mIsHeadSent) {
+    mObserver->OnResponseDue();
+  }
+}
+
 void ServerExchangeImpl::HandleClosed(bool aIsComplete)
 {
   mConnection = nullptr;
--- a/packages/http/src/ServerExchangeImpl.h
+++ b/packages/http/src/ServerExchangeImpl.h
@@ -54,6 +54,8 @@
   void HandleBodyEnd();
   /** All queued bytes were written to the socket. */
   void HandleWritable();
+  /** The response is needed now. */
+  void HandleResponseDue();
   /** Ends the exchange and detaches it from the connection. */
   void HandleClosed(bool aIsComplete);
 
--- a/packages/http/test/ServerCloseTest.cpp
+++ b/packages/http/test/ServerCloseTest.cpp
@@ -145,3 +145,25 @@
   mClient.ReadAvailable(mReceived);
   STRCMP_CONTAINS("HTTP/1.1 200", mReceived.c_str());
 }
+
+// Guards against an exit while a response is still on its way.
+TEST(ServerClose, UndeliveredBytesAreTold)
+{
+  CHECK_TRUE(mServer.UnacknowledgedBytes() == base::ByteCount(0));
+  http::Server server(mLoop, { "127.0.0.1", base::PortNumber(19296) },
+                      [&](const std::shared_ptr<ServerExchange>& aExchange) {
+                        aExchange->Respond(200, {},
+                                           std::string(kBodyBytes, 'x'));
+                      });
+  const LoopbackSocket client =
+    LoopbackSocket::Connect(base::PortNumber(19296));
+  CHECK_TRUE(client.Send("GET / HTTP/1.1\r\nhost: h\r\n\r\n"));
+  RunFor(50ms);
+  CHECK_TRUE(server.UnacknowledgedBytes() > base::ByteCount(0));
+  WaitFor([&] {
+    client.ReadAvailable(mReceived);
+    return mReceived.size() > kBodyBytes;
+  });
+  RunFor(20ms);
+  CHECK_TRUE(server.UnacknowledgedBytes() == base::ByteCount(0));
+}
--- a/tests/process/UpstreamTest.cpp
+++ b/tests/process/UpstreamTest.cpp
@@ -234,6 +234,29 @@
   CHECK_EQUAL(0, fleet.Sum("doubled"));
 }
 
+// Guards against connections that a host closes without an answer when it stops
+// before its requests have ended.
+TEST(Upstreams, ForcedStopOfHostAnswersWhatIsInFlight)
+{
+  FleetSettings settings;
+  settings.mMeanMs = 3000;
+  Fleet fleet(settings);
+  const auto check = fleet.Probe().Start(fleet.Check(0));
+  const auto voucher =
+    fleet.Probe().Start(fleet.Voucher(0, fleet.NewKey()), "voucher");
+  CHECK_TRUE(fleet.Probe().Until([&] { return fleet.Sum("executed") >= 2; }));
+  fleet.Host(0).Signal(SIGTERM);
+  fleet.Probe().RunFor(100ms);
+  fleet.Host(0).Signal(SIGTERM);
+  for (const auto& it : { check, voucher }) {
+    const Reply reply = fleet.Probe().Wait(it);
+    CHECK_EQUAL(502, reply.mStatus);
+    STRCMP_EQUAL("not-known", reply.mOutcome.c_str());
+  }
+  CHECK_TRUE(
+    fleet.Probe().Until([&] { return !fleet.Host(0).IsRunning(); }, 5s));
+}
+
 // Uploads must arrive at the upstream byte for byte while others run.
 TEST(Upstreams, UploadsArriveWhole)
 {
