Planned stop: repeat a request whose attempt failed

Cause: each selection of an upstream refuses what the exit might cut off. That is for requests that have not run: one that may have run can't be refused as "not run", so refusing it gave it up with a 502.

Change: a request that may have run is selected for again while its retry policy and budget allow it.

--- a/packages/entry/src/RequestForwarderSelection.cpp
+++ b/packages/entry/src/RequestForwarderSelection.cpp
@@ -56,7 +56,7 @@
 
 void RequestForwarder::TryPlace()
 {
-  if (IsCutOffByStop()) {
+  if (!mStateMachine->MayHaveRun() && IsCutOffByStop()) {
     LeaveQueue();
     Execute(
       mStateMachine->OnSelectionFailed(Reason::Stopping, kStoppingRetryAfter));
