Replace a straggler only once its replacement is connected

Cause: the attempt was cancelled as a straggler before the new one had a connection. Where the link of the host was full, the connection didn't open in 0.8 s, and nothing was left.

Change: without an open connection to the selected upstream, one is opened first; the attempt in progress goes on and may still be answered. The slot at the new upstream and the budget are taken as before.

Tests: PlannedStop.StragglerGoesOnWhileItsReplacementCannotBeReached failed before (all four held attempts were closed).

--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -38,6 +38,10 @@
    * time after which it closes idle clients. */
   static constexpr base::Duration kMemoryRetryAfter = std::chrono::seconds(1);
 
+  /** Time in which a connection to an upstream has to be open. */
+  static constexpr base::Duration kConnectTimeout =
+    std::chrono::milliseconds(800);
+
   RequestForwarder(Services& aServices,
                    std::shared_ptr<http::ServerExchange> aExchange);
   ~RequestForwarder() override;
@@ -138,6 +142,17 @@
   void StartStragglerTimer();
   /** Replaces an attempt that takes too long by one at another upstream. */
   void ReplaceStraggler();
+  /** \returns whether the attempt in progress may be replaced now. */
+  bool MayReplaceStraggler();
+  /** Replaces the attempt once a connection to the upstream of the new one is
+   * open: until then, the one in progress may still be answered. */
+  void ConnectReplacement(const placing::Placed& aPlace);
+  void OnReplacementConnected(http::ConnectOutcome aOutcome);
+  void SendReplacement(const placing::Placed& aPlace);
+  /** Frees the upstream that was selected for the new attempt, if any. */
+  void DropReplacement(placing::Outcome aOutcome);
+  /** Tries again to replace the attempt after a short time. */
+  void RetryReplacement();
   /** Logs that the attempt is cancelled while its upstream may be running it.
    */
   void LogCancelled(placing::Outcome aOutcome);
@@ -164,6 +179,11 @@
   std::optional<http::Loop::TimerId> mTimer;
   /** Set while the attempt may become a straggler. */
   std::optional<http::Loop::TimerId> mStragglerTimer;
+  /** The upstream selected in place of a straggler's, while a connection to it
+   * is being opened. */
+  std::optional<placing::Placed> mReplacement;
+  /** Number of replacements that needed a connection, to tell late outcomes. */
+  std::uint32_t mReplacementCount = 0;
   /** Same for requests that differ only in their ids. */
   retries::Fingerprint mFingerprint;
   /** Set while the request is queued. */
--- a/packages/entry/src/RequestForwarderAttempts.cpp
+++ b/packages/entry/src/RequestForwarderAttempts.cpp
@@ -36,11 +36,16 @@
   }
 }
 
+bool RequestForwarder::MayReplaceStraggler()
+{
+  return mStateMachine->MayReplaceAttempt() && !mAttempt->HasHead() &&
+         !mServices.mCrashes.IsRefused(mFingerprint) && !IdentifyAgain();
+}
+
 void RequestForwarder::ReplaceStraggler()
 {
   const base::TimePoint now = mServices.mLoop.Now();
-  if (!mStateMachine->MayReplaceAttempt() || mAttempt->HasHead() ||
-      mServices.mCrashes.IsRefused(mFingerprint) || IdentifyAgain()) {
+  if (!MayReplaceStraggler()) {
     return;
   }
   // The upstream of the straggler may be selected again, as it has the object
@@ -53,11 +58,7 @@
     mServices.mPlacement.Place(now, request);
   const auto* place = std::get_if<placing::Placed>(&decision);
   if (place == nullptr) {
-    mStragglerTimer = mServices.mLoop.After(kStragglerRetryDelay, [this] {
-      mStragglerTimer.reset();
-      const auto self = shared_from_this();
-      ReplaceStraggler();
-    });
+    RetryReplacement();
     return;
   }
   const bool isAllowed =
@@ -67,16 +68,77 @@
   if (!isAllowed) {
     mServices.mPlacement.OnResult(now, request,
                                   { place->mUpstream, Outcome::Abandoned });
-    return;
+  } else if (mServices.mClient.HasIdle(
+               mServices.mEndpoints.at(place->mUpstream))) {
+    SendReplacement(*place);
+  } else {
+    ConnectReplacement(*place);
+  }
+}
+
+void RequestForwarder::ConnectReplacement(const placing::Placed& aPlace)
+{
+  mReplacement = aPlace;
+  const bool isStarted = mServices.mClient.OpenIdle(
+    mServices.mEndpoints.at(aPlace.mUpstream), kConnectTimeout,
+    [weak = weak_from_this(),
+     n = ++mReplacementCount](http::ConnectOutcome aOutcome) {
+      const auto self = weak.lock();
+      if (self && self->mReplacement && self->mReplacementCount == n) {
+        self->OnReplacementConnected(aOutcome);
+      }
+    });
+  if (!isStarted) {
+    OnReplacementConnected(http::ConnectOutcome::Failed);
   }
-  LogStraggler(place->mUpstream);
+}
+
+void RequestForwarder::OnReplacementConnected(http::ConnectOutcome aOutcome)
+{
+  if (aOutcome == http::ConnectOutcome::Refused) {
+    mServices.mCrashes.OnConnectRefused(mReplacement->mUpstream);
+  }
+  if (aOutcome != http::ConnectOutcome::Connected) {
+    DropReplacement(Outcome::Unreachable);
+    RetryReplacement();
+  } else if (mServices.mEndpoints.count(mReplacement->mUpstream) > 0 &&
+             MayReplaceStraggler()) {
+    SendReplacement(*std::exchange(mReplacement, std::nullopt));
+  } else {
+    DropReplacement(Outcome::Abandoned);
+  }
+}
+
+void RequestForwarder::SendReplacement(const placing::Placed& aPlace)
+{
+  LogStraggler(aPlace.mUpstream);
   CancelAttempt(Outcome::Replaced);
   mStateMachine->OnAttemptReplaced();
-  Send(*place);
+  Send(aPlace);
+}
+
+void RequestForwarder::DropReplacement(Outcome aOutcome)
+{
+  if (mReplacement) {
+    mServices.mPlacement.OnResult(
+      mServices.mLoop.Now(), mPlaceRequest,
+      { std::exchange(mReplacement, std::nullopt)->mUpstream, aOutcome });
+    mServices.mDispatcher.OnCapacityAvailable();
+  }
+}
+
+void RequestForwarder::RetryReplacement()
+{
+  mStragglerTimer = mServices.mLoop.After(kStragglerRetryDelay, [this] {
+    mStragglerTimer.reset();
+    const auto self = shared_from_this();
+    ReplaceStraggler();
+  });
 }
 
 void RequestForwarder::StopStragglerTimer()
 {
+  DropReplacement(Outcome::Abandoned);
   if (mStragglerTimer) {
     mServices.mLoop.Cancel(*std::exchange(mStragglerTimer, std::nullopt));
   }
--- a/packages/entry/src/RequestForwarderSelection.cpp
+++ b/packages/entry/src/RequestForwarderSelection.cpp
@@ -9,8 +9,6 @@
 
 using carriage::Reason;
 
-constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(800);
-
 /** Retry-after of a request that crashes upstreams; it is refused for at least
  * this long. */
 constexpr base::Duration kQuarantineRetryAfter = std::chrono::minutes(10);
--- a/packages/http/src/Client.cpp
+++ b/packages/http/src/Client.cpp
@@ -187,6 +187,14 @@
   return connection != nullptr;
 }
 
+bool Client::HasIdle(const Endpoint& aEndpoint) const
+{
+  const auto idle = mImpl->mIdle.find(aEndpoint);
+  return idle != mImpl->mIdle.end() &&
+         idle->second.back()->IsUsable(mImpl->mLoop.Now(),
+                                       mImpl->mOptions.mMaxIdle);
+}
+
 void Client::CloseIdle(const Endpoint& aEndpoint)
 {
   const auto idle = mImpl->mIdle.find(aEndpoint);
--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -189,6 +189,9 @@
    */
   bool OpenIdle(const Endpoint& aEndpoint, base::Duration aTimeout,
                 std::function<void(ConnectOutcome)> aDone);
+  /** \returns whether a request to \a aEndpoint can be sent on an open
+   * connection. */
+  bool HasIdle(const Endpoint& aEndpoint) const;
   /** Closes the idle connections to \a aEndpoint. */
   void CloseIdle(const Endpoint& aEndpoint);
   /** \returns the number of connections opened so far. */
