Client: wait for a peer that acknowledges and reads nothing

Cause: TCP_USER_TIMEOUT also ends a connection whose peer keeps its receive window closed for that long, although the peer acknowledges the probes.

Change: four times within the limit, ClosedWindow decides from TCP_INFO whether a request's connection waits for the window of a live peer; the kernel's limit is lifted meanwhile. A peer whose kernel leaves a probe unanswered for the limit is dead. entry and daemon share the client.

--- a/packages/http/src/Client.cpp
+++ b/packages/http/src/Client.cpp
@@ -18,6 +18,10 @@
 // How often idle connections are checked for expiry.
 constexpr base::Duration kIdleCheckPeriod = std::chrono::milliseconds(500);
 
+// Checks of a connection's peer within the time for which it may be silent. The
+// kernel must not see a closed window for that long before the first one.
+constexpr int kPeerChecks = 4;
+
 } // namespace
 
 const char* FailureName(FailureKind aKind)
@@ -61,10 +65,12 @@
   std::shared_ptr<HttpClientConnection> Open(const Endpoint& aEndpoint,
                                              base::Duration aTimeout);
   void CloseExpired();
+  void CheckPeers();
 
   Loop& mLoop;
   ClientOptions mOptions;
   Loop::TimerId mIdleCheckTimer;
+  Loop::TimerId mPeerCheckTimer;
   std::uint64_t mOpenedConnections = 0;
   std::unordered_map<const HttpClientConnection*,
                      std::shared_ptr<HttpClientConnection>>
@@ -136,6 +142,17 @@
   }
 }
 
+void Client::Impl::CheckPeers()
+{
+  Connections connections;
+  for (const auto& [key, connection] : mConnections) {
+    connections.push_back(connection);
+  }
+  for (const auto& it : connections) {
+    it->CheckPeer();
+  }
+}
+
 Client::Client(Loop& aLoop, std::string aSource)
   : Client(aLoop, ClientOptions{ std::move(aSource) })
 {
@@ -146,11 +163,15 @@
 {
   mImpl->mIdleCheckTimer = aLoop.Every(
     kIdleCheckPeriod, [impl = mImpl.get()] { impl->CloseExpired(); });
+  mImpl->mPeerCheckTimer =
+    aLoop.Every(mImpl->mOptions.mUnacknowledgedTimeout / kPeerChecks,
+                [impl = mImpl.get()] { impl->CheckPeers(); });
 }
 
 Client::~Client()
 {
   mImpl->mLoop.Cancel(mImpl->mIdleCheckTimer);
+  mImpl->mLoop.Cancel(mImpl->mPeerCheckTimer);
   const auto connections = mImpl->mConnections;
   for (const auto& [key, connection] : connections) {
     if (const auto exchange = connection->Close()) {
--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -141,7 +141,9 @@
   /** How long before the timeout in the server's Keep-Alive field an idle
    * connection is closed. */
   base::Duration mKeepAliveMargin = std::chrono::seconds(1);
-  /** Maximum time that sent data may stay unacknowledged. */
+  /** Maximum time that sent data, or a probe of the peer's closed receive
+   * window, may stay unacknowledged. A peer that acknowledges and reads nothing
+   * is waited for. */
   base::Duration mUnacknowledgedTimeout = std::chrono::seconds(10);
   /** Idle time after which TCP keep-alive probes are sent. */
   base::Duration mProbeAfter = std::chrono::seconds(10);
--- a/packages/http/src/HttpClientConnection.cpp
+++ b/packages/http/src/HttpClientConnection.cpp
@@ -64,6 +64,7 @@
   , mEndpoint(std::move(aEndpoint))
   , mOptions(aOptions)
   , mStream(aLoop, *this, aOptions.mAccount, buffering::Receiver::Upstream)
+  , mWindow(aOptions.mUnacknowledgedTimeout)
   , mIdleLimit(std::min(aOptions.mMaxIdle, aOptions.mDefaultMaxIdle))
 {
 }
@@ -122,6 +123,23 @@
          aNow - mIdleSince < std::min(mIdleLimit, aMaxIdle);
 }
 
+void HttpClientConnection::CheckPeer()
+{
+  const auto progress =
+    mExchange && mIsConnected ? mStream.Progress() : std::nullopt;
+  if (!progress) {
+    return;
+  }
+  const bool wasClosed = mWindow.IsClosed();
+  mWindow.Update(mLoop.Now(), *progress);
+  if (mWindow.IsPeerSilent()) {
+    Fail(mHasHead ? FailureKind::Truncated : FailureKind::Reset);
+  } else if (mWindow.IsClosed() != wasClosed) {
+    mStream.SetUnacknowledgedTimeout(
+      mWindow.IsClosed() ? base::Duration() : mOptions.mUnacknowledgedTimeout);
+  }
+}
+
 std::shared_ptr<ClientExchangeImpl> HttpClientConnection::Close()
 {
   const auto self = shared_from_this();
--- a/packages/http/src/HttpClientConnection.h
+++ b/packages/http/src/HttpClientConnection.h
@@ -104,6 +104,9 @@
   /** \returns whether the connection is open, and idle for less than its own
    * limit and \a aMaxIdle at \a aNow, so that it can carry a request. */
   bool IsUsable(base::TimePoint aNow, base::Duration aMaxIdle) const;
+  /** Fails the exchange if the peer is dead behind a closed receive window,
+   * which the kernel doesn't tell from a peer that pauses reading. */
+  void CheckPeer();
   /** Closes the connection. \returns the exchange that was on it, if any. */
   std::shared_ptr<ClientExchangeImpl> Close();
 
@@ -151,6 +154,7 @@
   Endpoint mEndpoint;
   ClientOptions mOptions;
   TcpStream mStream;
+  ClosedWindow mWindow;
   std::optional<Loop::TimerId> mConnectTimer;
   std::function<void(ConnectOutcome)> mOnConnected;
   std::shared_ptr<ClientExchangeImpl> mExchange;
--- a/packages/http/src/TcpStream.cpp
+++ b/packages/http/src/TcpStream.cpp
@@ -40,16 +40,20 @@
   setsockopt(aDescriptor, aLevel, aName, &aValue, sizeof aValue);
 }
 
+void SetUserTimeout(int aDescriptor, base::Duration aTimeout)
+{
+  const auto ms =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTimeout).count();
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ms));
+}
+
 void SetSilenceLimits(int aDescriptor, const SilenceLimits& aLimits)
 {
-  using std::chrono::duration_cast;
-  const auto unacknowledged =
-    duration_cast<std::chrono::milliseconds>(aLimits.mUnacknowledgedTimeout)
-      .count();
   const auto idle = std::max<std::chrono::seconds::rep>(
-    duration_cast<std::chrono::seconds>(aLimits.mProbeAfter).count(), 1);
-  SetOption(aDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
-            static_cast<int>(unacknowledged));
+    std::chrono::duration_cast<std::chrono::seconds>(aLimits.mProbeAfter)
+      .count(),
+    1);
+  SetUserTimeout(aDescriptor, aLimits.mUnacknowledgedTimeout);
   SetOption(aDescriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(idle));
   SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPINTVL, 1);
@@ -181,6 +185,25 @@
   return static_cast<std::size_t>(n);
 }
 
+std::optional<SendProgress> TcpStream::Progress() const
+{
+  const bool hasUnacknowledged = UnacknowledgedSentBytes() > 0;
+  tcp_info info{};
+  socklen_t length = sizeof info;
+  if (hasUnacknowledged &&
+      getsockopt(mDescriptor, IPPROTO_TCP, TCP_INFO, &info, &length) != 0) {
+    return std::nullopt;
+  }
+  return SendProgress{ hasUnacknowledged && info.tcpi_unacked == 0,
+                       info.tcpi_backoff,
+                       std::chrono::milliseconds(info.tcpi_last_ack_recv) };
+}
+
+void TcpStream::SetUnacknowledgedTimeout(base::Duration aTimeout)
+{
+  SetUserTimeout(mDescriptor, aTimeout);
+}
+
 void TcpStream::ShutdownSending()
 {
   shutdown(mDescriptor, SHUT_WR);
--- a/packages/http/src/TcpStream.h
+++ b/packages/http/src/TcpStream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "buffering/Buffering.h"
+#include "http/src/ClosedWindow.h"
 #include "http/src/Loop.h"
 #include "http/src/Message.h"
 
@@ -95,6 +96,13 @@
   {
     return mSentBytes - UnacknowledgedSentBytes();
   }
+  /** \returns what became of the sent and queued bytes; none if the kernel
+   * doesn't tell. */
+  std::optional<SendProgress> Progress() const;
+  /** Sets the time after which the kernel closes the connection if sent bytes
+   * are not acknowledged, or the peer's receive window stays closed, for that
+   * long; zero for its default of many minutes. */
+  void SetUnacknowledgedTimeout(base::Duration aTimeout);
   /** \returns whether any byte was sent since ResetHasSent(). */
   bool HasSent() const { return mHasSent; }
   void ResetHasSent() { mHasSent = false; }
--- a/packages/http/test/support/LoopbackSocket.h
+++ b/packages/http/test/support/LoopbackSocket.h
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <cerrno>
+#include <linux/filter.h>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -111,6 +112,22 @@
     }
     return { received, n == 0 };
   }
+  /** Reads \a aBytes. \returns whether all of them arrived. */
+  bool ReadExactly(std::size_t aBytes) const
+  {
+    std::string buf(aBytes, '\0');
+    return recv(mDescriptor, buf.data(), aBytes, MSG_WAITALL) ==
+           static_cast<ssize_t>(aBytes);
+  }
+  /** Drops all that arrives from now on, so that the peer gets no more
+   * acknowledgements, as if this host had vanished. */
+  bool Vanish() const
+  {
+    sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
+    const sock_fprog program{ 1, &drop };
+    return setsockopt(mDescriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                      sizeof program) == 0;
+  }
   /** Closes the sending side of the connection (half-close). */
   void ShutdownSending() const { shutdown(mDescriptor, SHUT_WR); }
   /** Closes the connection by a reset, also if all data was read. */
