--- a/packages/http/src/Client.cpp
+++ b/packages/http/src/Client.cpp
@@ -18,8 +18,9 @@
 // How often idle connections are checked for expiry.
 constexpr base::Duration kIdleCheckPeriod = std::chrono::milliseconds(500);
 
-// Checks of a connection's peer within the time for which it may be silent. The
-// kernel must not see a closed window for that long before the first one.
+// Checks of a connection's peer within the unacknowledged timeout. The kernel
+// ends a connection whose window is closed for that long, unless a check has
+// lifted its limit before.
 constexpr int kPeerChecks = 4;
 
 } // namespace
--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -143,7 +143,8 @@
   base::Duration mKeepAliveMargin = std::chrono::seconds(1);
   /** Maximum time that sent data, or a probe of the peer's closed receive
    * window, may stay unacknowledged. A peer that acknowledges and reads nothing
-   * is waited for. */
+   * is waited for. At least 2 s: Linux doesn't acknowledge a probe within 500
+   * ms of the one before, and the next one follows up to a second later. */
   base::Duration mUnacknowledgedTimeout = std::chrono::seconds(10);
   /** Idle time after which TCP keep-alive probes are sent. */
   base::Duration mProbeAfter = std::chrono::seconds(10);
--- a/packages/http/test/ClosedWindowTest.cpp
+++ b/packages/http/test/ClosedWindowTest.cpp
@@ -133,9 +133,8 @@
   CHECK_TRUE(elapsed >= kPause);
 }
 
-// The first probe is answered after the pause has begun, the next ones aren't.
-// The kernel doubles its time between probes, so the next one follows within
-// the time since the window closed.
+// The kernel doubles its time between probes, so that the first unanswered one
+// follows within the time for which the window was closed.
 TEST(PausingServer, ThatVanishesMeanwhileIsFound)
 {
   constexpr base::Duration kPause = 1s;
