--- a/review/11/main.cc
+++ b/review/11/main.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int kRouteTimeoutMs = 1000;
+constexpr int kRouteTimeoutMs = 500;
 constexpr int kHeaderTimeoutMs = 3000;
 constexpr int kDeadlineMs = 4000;
 constexpr int kSlackMs = 500;
