--- a/review/standins-3/lab.hpp
+++ b/review/standins-3/lab.hpp
@@ -186,9 +186,14 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  static std::unique_ptr<Connection> To(const std::string& ip, int port)
+  static std::unique_ptr<Connection> To(const std::string& ip, int port,
+                                        int receiveBuffer = 0)
   {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (receiveBuffer > 0) {
+      setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer,
+                 sizeof receiveBuffer);
+    }
     const sockaddr_in address = Address(ip, port);
     if (connect(fd, reinterpret_cast<const sockaddr*>(&address),
                 sizeof address) != 0) {
@@ -380,15 +385,25 @@
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     ++mRevision;
-    mObjects[kind][name] = { mRevision, spec };
+    mObjects[kind][name] = { mRevision, spec, false };
     mChanged.notify_all();
   }
+  void Remove(const std::string& kind, const std::string& name)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (mObjects[kind].count(name) != 0) {
+      mObjects[kind][name].revision = ++mRevision;
+      mObjects[kind][name].isDeleted = true;
+      mChanged.notify_all();
+    }
+  }
 
 private:
   struct Object
   {
     long revision = 0;
     std::string spec;
+    bool isDeleted = false;
   };
 
   static std::string Text(const std::string& name, const Object& object)
@@ -429,14 +444,18 @@
       for (const auto& [name, object] : mObjects[kind]) {
         if (object.revision > since) {
           out += (out.empty() ? "" : ",") +
-                 ("{\"deleted\":false,\"object\":" + Text(name, object) + "}");
+                 ("{\"deleted\":" +
+                  std::string(object.isDeleted ? "true" : "false") +
+                  ",\"object\":" + Text(name, object) + "}");
         }
       }
       return "{\"events\":[" + out +
              "],\"as_of\":" + std::to_string(mRevision) + "}";
     }
     for (const auto& [name, object] : mObjects[kind]) {
-      out += (out.empty() ? "" : ",") + Text(name, object);
+      if (!object.isDeleted) {
+        out += (out.empty() ? "" : ",") + Text(name, object);
+      }
     }
     return "{\"items\":[" + out +
            "],\"has_more\":false,\"as_of\":" + std::to_string(mRevision) + "}";
