--- a/review/13/main.cc
+++ b/review/13/main.cc
@@ -16,11 +16,11 @@
 constexpr int kRouteTimeoutMs = 8000;
 constexpr int kDeadlineMs = 8000;
 constexpr double kGraceS = 6;
-constexpr int kAnswerBytes = 200000;
-/** A client reads 64 KB a second: the answer takes it about 3 s. */
-constexpr int kReadBytes = 16384;
-constexpr int kReadEveryMs = 250;
-constexpr int kReceiveBuffer = 65536;
+constexpr int kAnswerBytes = 30000;
+/** A client reads 7 KB a second: the answer takes it about 4.5 s. */
+constexpr int kReadBytes = 2048;
+constexpr int kReadEveryMs = 300;
+constexpr int kReceiveBuffer = 4096;
 
 } // namespace
 
