Tests: a port of its own for ClosedWindowTest

Seen: Upstream.ConcurrentUploadsArriveUnchanged of test_standins failed once, with 12 of 12 uploads damaged, in a run of ctest with three programs at a time.

Cause: both programs listen on 19311. Shown by a run of PausingServer.* of test_http beside that test: it failed again, and passed three times without.

Change: ClosedWindowTest listens on 19299, which no other test uses.

--- a/packages/http/test/ClosedWindowTest.cpp
+++ b/packages/http/test/ClosedWindowTest.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-const base::PortNumber kPort(19311);
+const base::PortNumber kPort(19299);
 constexpr int kReceiveBuffer = 16384;
 constexpr std::size_t kUploadBytes = 360000;
 constexpr base::Duration kTimeout = 2s;
