--- a/packages/http/src/MessageReader.cpp
+++ b/packages/http/src/MessageReader.cpp
@@ -25,8 +25,8 @@
 }
 
 /**
- * Length of the last chunk, the shortest possible rest of a message at the
- * start of a chunk. Beast's parser must not be called again with less.
+ * Length of the shortest last chunk with its empty trailer. Once Beast's parser
+ * has seen the line of the last chunk, it must not be called again with less.
  */
 constexpr std::size_t kLastChunkBytes = std::string_view("0\r\n\r\n").size();
 
@@ -50,7 +50,7 @@
 
   ReadStep Advance(std::string_view aBytes, BodySink& aSink)
   {
-    if (MustWaitForMore(aBytes.size())) {
+    if (aBytes.size() < mMinInput) {
       return {};
     }
     mSink = &aSink;
@@ -65,8 +65,8 @@
     step.mState = StateAfter(error, hadHead);
     const bool isStalled =
       step.mState == ReadState::NeedsMore && step.mConsumed == 0;
-    mUnusedBytes = isStalled ? aBytes.size() : 0;
-    if (hadHead && mUnusedBytes > mMaxHead.Count()) {
+    mMinInput = isStalled ? MinInputAfter(aBytes, hadHead) : 0;
+    if (isStalled && hadHead && aBytes.size() > mMaxHead.Count()) {
       step.mState = ReadState::Malformed; // a chunk header or trailer too long
     }
     return step;
@@ -92,12 +92,14 @@
   Headers mHeaders;
 
 private:
-  /** \returns whether the last call consumed nothing and too few bytes have
-   * been added since to call the parser again. */
-  bool MustWaitForMore(std::size_t aSize) const
+  /** \returns the size of the input with which to call the parser again after
+   * it consumed nothing of \a aUnused. */
+  static std::size_t MinInputAfter(std::string_view aUnused, bool aHasHead)
   {
-    return mUnusedBytes > 0 &&
-           (aSize <= mUnusedBytes || aSize < kLastChunkBytes);
+    const bool mayHaveLastChunk =
+      aHasHead && aUnused.find('\n') != std::string_view::npos;
+    return std::max(aUnused.size() + 1,
+                    mayHaveLastChunk ? kLastChunkBytes : std::size_t{ 0 });
   }
 
   ReadState StateAfter(const ErrorCode& aError, bool aHadHead) const
@@ -161,8 +163,8 @@
   // NOLINTEND(readability-identifier-naming)
 
   base::ByteCount mMaxHead;
-  /** Size of the last call's input if none of it was consumed, else 0. */
-  std::size_t mUnusedBytes = 0;
+  /** Size below which the parser would not consume any of the next input. */
+  std::size_t mMinInput = 0;
   BodySink* mSink = nullptr;
 };
 
--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -122,6 +122,12 @@
       });
   }
 
+  void RunFor(base::Duration aTime)
+  {
+    mLoop.After(aTime, [this] { mLoop.Stop(); });
+    mLoop.Run();
+  }
+
   FetchResult Fetch(const http::ClientRequest& aRequest,
                     const std::string& aBody = {})
   {
@@ -552,12 +558,60 @@
               "transfer-encoding: chunked\r\n\r\n");
   for (const char* it : { "0\r\n", "\r", "\n" }) {
     caller.Send(it);
-    mLoop.After(std::chrono::milliseconds(20), [this] { mLoop.Stop(); });
-    mLoop.Run();
+    RunFor(std::chrono::milliseconds(20));
   }
   STRCMP_CONTAINS("HTTP/1.1 200", caller.ReadToEnd().first.c_str());
 }
 
+// Guards against a request that is not read before more input follows, as its
+// end arrives apart (third review, case 11).
+TEST(Http, HeadInTwoPiecesIsRead)
+{
+  const base::PortNumber port(19237);
+  const auto server = Echo(port);
+  for (const std::string fields :
+       { "", "content-length: 0\r\n", "x: 1\r\nconnection: close\r\n" }) {
+    const std::string head =
+      "PUT /echo HTTP/1.1\r\nhost: h\r\n" + fields + "\r\n";
+    for (std::size_t n = 1; n <= 5; ++n) {
+      const auto caller = LoopbackSocket::Connect(port);
+      caller.Send(head.substr(0, head.size() - n));
+      RunFor(std::chrono::milliseconds(20));
+      caller.Send(head.substr(head.size() - n));
+      RunFor(std::chrono::milliseconds(20));
+      std::string received;
+      caller.ReadAvailable(received);
+      STRCMP_CONTAINS("HTTP/1.1 200", received.c_str());
+    }
+  }
+}
+
+// Guards against a response that is not complete before more input follows, as
+// its end arrives apart (kin of the third review's case 11).
+TEST(Http, ResponseInTwoPiecesIsComplete)
+{
+  const base::PortNumber port(19238);
+  const auto listener = LoopbackSocket::Listen(port);
+  for (const std::string head :
+       { "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+         "HTTP/1.1 204 No Content\r\n\r\n" }) {
+    for (std::size_t n = 1; n <= 5; ++n) {
+      std::optional<FetchResult> result;
+      http::ClientRequest request;
+      request.mEndpoint = { kAddress, port };
+      request.mNeedsFreshConnection = true;
+      http::Fetch(mLoop, mClient, request, {}, std::chrono::seconds(1),
+                  [&result](const FetchResult& aResult) { result = aResult; });
+      const auto connection = listener.Accept();
+      connection.Send(head.substr(0, head.size() - n));
+      RunFor(std::chrono::milliseconds(20));
+      connection.Send(head.substr(head.size() - n));
+      RunFor(std::chrono::milliseconds(20));
+      CHECK_TRUE(result && result->IsOk());
+    }
+  }
+}
+
 // Guards against end-to-end fields that are dropped in transit.
 TEST(Http, UnknownFieldsAndTargetsArriveUnchanged)
 {
