--- a/packages/http/src/HttpServerConnection.cpp
+++ b/packages/http/src/HttpServerConnection.cpp
@@ -1,5 +1,6 @@
 #include "http/src/HttpServerConnection.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace auburnmux::http::internal {
@@ -9,11 +10,14 @@
 // Maximum reads from one connection in one iteration of the event loop.
 constexpr int kMaxReadsPerIteration = 4;
 
-// Maximum duration of a lingering close, which waits until the peer closes.
-// Closing with unread input resets the connection, and the peer could lose the
-// response.
+// Maximum time that a lingering close waits for the peer to close once the peer
+// has acknowledged all that was sent. Closing with unread input resets the
+// connection, and the peer could lose the response.
 constexpr base::Duration kLingerTimeout = std::chrono::seconds(2);
 
+// Maximum reads that discard unread input before the connection closes.
+constexpr int kMaxDiscardingReads = 64;
+
 bool HasBody(const RequestHead& aHead)
 {
   return aHead.mIsChunked ||
@@ -38,11 +42,7 @@
 {
   const base::Duration age = aNow - mPhaseStart;
   if (mIsLingering) {
-    if (age > kLingerTimeout) {
-      Close();
-    } else if (mDrainsBody) {
-      DrainSlowly();
-    }
+    CheckLingeringClose(aNow);
   } else if (mIsReadingHead && !MayRead()) {
     mPhaseStart = aNow; // the rest of the head may have arrived
   } else if (mIsReadingHead) {
@@ -93,6 +93,33 @@
   mOwner.OnConnectionClosed(*this);
 }
 
+void HttpServerConnection::CloseDelivering()
+{
+  if (mStream.IsOpen() && mStream.UnacknowledgedBytes() > 0) {
+    std::string discarded;
+    auto result = TcpStream::ReadResult::Data;
+    for (int i = 0;
+         i < kMaxDiscardingReads && result == TcpStream::ReadResult::Data;
+         ++i) {
+      discarded.clear();
+      result = mStream.Read(discarded);
+    }
+  }
+  Close();
+}
+
+void HttpServerConnection::CloseAfterDelivery()
+{
+  const auto self = shared_from_this();
+  if (mStream.UnacknowledgedBytes() == mStream.PendingBytes()) {
+    Close();
+    return;
+  }
+  mIsReadingHead = false;
+  BeginLingeringClose();
+  EndExchanges();
+}
+
 void HttpServerConnection::EndExchanges()
 {
   for (const auto& it : mExchanges.TakeAll()) {
@@ -103,7 +130,7 @@
 void HttpServerConnection::Abort(const ServerExchangeImpl& aExchange)
 {
   if (mExchanges.IsFirst(aExchange)) {
-    Close();
+    CloseAfterDelivery();
     return;
   }
   mIsCut = true;
@@ -130,6 +157,9 @@
 std::optional<buffering::HeldClient> HttpServerConnection::SampleProgress(
   base::TimePoint aNow)
 {
+  if (mIsLingering) {
+    return std::nullopt;
+  }
   if (!mStream.IsOpen() || mStream.PendingBytes() == 0) {
     mProgress.Reset();
     return std::nullopt;
@@ -143,7 +173,7 @@
 {
   const auto self = shared_from_this();
   if (aReadiness.mIsHungUp) {
-    Close(); // the caller disconnected and needs no response
+    HandleHangUp(aReadiness.mIsBroken);
     return;
   }
   if (aReadiness.mIsReadable) {
@@ -157,6 +187,20 @@
   }
 }
 
+void HttpServerConnection::HandleHangUp(bool aIsBroken)
+{
+  if (aIsBroken || !mExchanges.IsEmpty()) {
+    Close(); // the caller disconnected and needs no response
+    return;
+  }
+  mIsHungUp = true;
+  if (!mIsLingering) {
+    CloseAfterDelivery();
+  } else if (mStream.UnacknowledgedBytes() == 0) {
+    Close();
+  }
+}
+
 bool HttpServerConnection::MayRead() const
 {
   if (mIsLingering) {
@@ -207,10 +251,10 @@
   mInput.erase(0, mInputStart);
   mInputStart = 0;
   const TcpStream::ReadResult result = mStream.Read(mInput);
-  if (result == TcpStream::ReadResult::Blocked) {
-    mMayHaveUnread = false;
-  } else if (result != TcpStream::ReadResult::Data) {
-    Close();
+  mMayHaveUnread = result == TcpStream::ReadResult::Data;
+  if (result == TcpStream::ReadResult::End ||
+      result == TcpStream::ReadResult::Broken) {
+    HandleHangUp(result == TcpStream::ReadResult::Broken);
   }
 }
 
@@ -220,6 +264,7 @@
     return false;
   }
   if (mIsLingering) {
+    HandleDiscarded(mInput.size() - mInputStart);
     mInputStart = mInput.size();
     return true;
   }
@@ -444,10 +489,33 @@
 {
   mIsLingering = true;
   mPhaseStart = mOwner.EventLoop().Now();
+  mProgress.Reset();
   mStream.ShutdownSending();
   ReadSoon();
 }
 
+void HttpServerConnection::CheckLingeringClose(base::TimePoint aNow)
+{
+  const base::TimePoint lastProgress = std::max(
+    mPhaseStart, mProgress.OnSample(aNow, mStream.AcknowledgedBytes()));
+  const bool isDelivered = mStream.UnacknowledgedBytes() == 0;
+  const base::Duration limit =
+    isDelivered ? kLingerTimeout : mOwner.Limits().mIdleTimeout;
+  if ((isDelivered && mIsHungUp) || aNow - lastProgress > limit) {
+    Close();
+  } else if (mDrainsBody) {
+    DrainSlowly();
+  }
+}
+
+void HttpServerConnection::HandleDiscarded(std::size_t aBytes)
+{
+  mDiscardedBytes += aBytes;
+  if (aBytes > 0 && mDiscardedBytes <= mOwner.Limits().mMaxBody.Count()) {
+    mPhaseStart = mOwner.EventLoop().Now();
+  }
+}
+
 void HttpServerConnection::DrainSlowly()
 {
   std::string discarded;
@@ -457,9 +525,10 @@
        ++i) {
     result = mStream.Read(discarded);
   }
+  HandleDiscarded(discarded.size());
   if (result == TcpStream::ReadResult::End ||
       result == TcpStream::ReadResult::Broken) {
-    Close();
+    HandleHangUp(result == TcpStream::ReadResult::Broken);
   }
 }
 
--- a/packages/http/src/HttpServerConnection.h
+++ b/packages/http/src/HttpServerConnection.h
@@ -60,8 +60,13 @@
   /** \returns the number of open exchanges. */
   std::size_t ExchangeCount() const { return mExchanges.Size(); }
   int Descriptor() const { return mDescriptor; }
-  /** Closes the connection and ends its exchanges as incomplete. */
+  /** Closes the connection and ends its exchanges as incomplete. If the client
+   * has sent something that was not read, the connection is reset, and the
+   * client may lose what it has not acknowledged. */
   void Close();
+  /** Same, but the kernel goes on delivering what the client has not
+   * acknowledged: unread input is discarded first. */
+  void CloseDelivering();
   /** Same, and discards what the client has not read. */
   void CloseDiscardingUnread();
   /** Samples the progress of the client. \returns none while it has read all
@@ -92,6 +97,8 @@
 
 private:
   bool MayRead() const;
+  /** The client closed its sending side, or the connection broke. */
+  void HandleHangUp(bool aIsBroken);
   /** \returns whether the connection is open and carries no request. */
   bool IsIdle() const
   {
@@ -120,11 +127,18 @@
   void CompleteExchange();
   void EndExchanges();
   /**
-   * Ends the sending direction and waits for the client to close. A request
-   * that the client sent before it noticed stays unread, so that it is not
-   * taken for one that may have run.
+   * Ends the sending direction and waits for the client to acknowledge all that
+   * was sent, and then to close. A request that the client sent before it
+   * noticed stays unread, so that it is not taken for one that may have run.
    */
   void BeginLingeringClose();
+  /** Closes the connection if the client makes no progress. */
+  void CheckLingeringClose(base::TimePoint aNow);
+  /** Ends the exchanges as incomplete. The connection closes once the client
+   * has acknowledged what was sent before. */
+  void CloseAfterDelivery();
+  /** Input of the lingering close was discarded. */
+  void HandleDiscarded(std::size_t aBytes);
   /**
    * Discards a part of the input in the lingering close of a stopping server. A
    * client that writes a whole body before it reads the response gets on; a
@@ -147,7 +161,8 @@
   /** The limit that was in force when the request began. */
   base::ByteCount mMaxBody;
   bool mIsContinueExpected = false;
-  // Start of the idle time, of reading a head or of the lingering close.
+  // Start of the idle time, of reading a head or of the lingering close, or the
+  // last time that input of the lingering close was discarded.
   base::TimePoint mPhaseStart;
   bool mIsReadingHead = false;
   /** Whether an exchange was aborted before its turn, so that the connection
@@ -155,9 +170,13 @@
   bool mIsCut = false;
   bool mMayHaveUnread = true;
   bool mIsLingering = false;
+  /** Whether the client closed its sending side during the lingering close. */
+  bool mIsHungUp = false;
   /** Whether the client may still be sending a request that was answered or
    * refused, which is discarded in the lingering close. */
   bool mDrainsBody = false;
+  /** Bytes discarded in the lingering close. */
+  std::uint64_t mDiscardedBytes = 0;
   bool mIsFlushPosted = false;
   bool mIsReadPosted = false;
 };
--- a/packages/http/src/Loop.cpp
+++ b/packages/http/src/Loop.cpp
@@ -99,6 +99,7 @@
   ready.mGeneration = static_cast<std::uint32_t>(aEvent.data.u64);
   ready.mReadiness.mIsHungUp =
     (aEvent.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+  ready.mReadiness.mIsBroken = (aEvent.events & EPOLLERR) != 0;
   ready.mReadiness.mIsReadable =
     (aEvent.events & EPOLLIN) != 0 || ready.mReadiness.mIsHungUp;
   ready.mReadiness.mIsWritable = (aEvent.events & EPOLLOUT) != 0;
--- a/packages/http/src/Loop.h
+++ b/packages/http/src/Loop.h
@@ -14,6 +14,8 @@
   bool mIsWritable = false;
   /** The peer closed its sending side, or the connection broke. */
   bool mIsHungUp = false;
+  /** The connection broke, e.g. by a reset. */
+  bool mIsBroken = false;
 };
 
 /** Receives the readiness changes of a socket that a Loop observes. */
--- a/packages/http/src/Server.cpp
+++ b/packages/http/src/Server.cpp
@@ -160,7 +160,7 @@
   mImpl->mLoop.Cancel(mImpl->mCheckTimer);
   mImpl->mListener->Close();
   for (const auto& it : mImpl->Connections()) {
-    it->Close();
+    it->CloseDelivering();
   }
 }
 
--- a/packages/http/src/TcpStream.cpp
+++ b/packages/http/src/TcpStream.cpp
@@ -206,6 +206,10 @@
 
 void TcpStream::ShutdownSending()
 {
+  mOutput = {};
+  mOutputStart = 0;
+  mHolding.Set(0);
+  ++mSentBytes; // SIOCOUTQ counts the end of the stream as a byte
   shutdown(mDescriptor, SHUT_WR);
 }
 
--- a/packages/http/src/TcpStream.h
+++ b/packages/http/src/TcpStream.h
@@ -106,7 +106,8 @@
   /** \returns whether any byte was sent since ResetHasSent(). */
   bool HasSent() const { return mHasSent; }
   void ResetHasSent() { mHasSent = false; }
-  /** Closes the sending side of the connection (half-close). */
+  /** Closes the sending side of the connection (half-close). The peer has to
+   * acknowledge this like a byte. Queued bytes are dropped. */
   void ShutdownSending();
   void Close();
   /** Closes the connection. Bytes that the peer has not acknowledged are
--- a/packages/http/test/support/LoopbackSocket.h
+++ b/packages/http/test/support/LoopbackSocket.h
@@ -37,9 +37,15 @@
       listen(it.mDescriptor, aBacklog) == 0;
     return it;
   }
-  static LoopbackSocket Connect(base::PortNumber aPort)
+  /** \returns a connection. \param aReceiveBuffer its receive buffer size in
+   * bytes; 0 for the system's default */
+  static LoopbackSocket Connect(base::PortNumber aPort, int aReceiveBuffer = 0)
   {
     LoopbackSocket it;
+    if (aReceiveBuffer > 0) {
+      setsockopt(it.mDescriptor, SOL_SOCKET, SO_RCVBUF, &aReceiveBuffer,
+                 sizeof aReceiveBuffer);
+    }
     const sockaddr_in address = Address(aPort);
     it.mIsOpen =
       connect(it.mDescriptor, reinterpret_cast<const sockaddr*>(&address),
@@ -112,6 +118,17 @@
     }
     return { received, n == 0 };
   }
+  /** Appends at most \a aMaxBytes that have arrived to \a aOut, without waiting
+   * for more. \returns whether the connection is still open. */
+  bool ReadSome(std::string& aOut, std::size_t aMaxBytes) const
+  {
+    std::string buf(aMaxBytes, '\0');
+    const ssize_t n = recv(mDescriptor, buf.data(), buf.size(), MSG_DONTWAIT);
+    if (n > 0) {
+      aOut.append(buf, 0, static_cast<std::size_t>(n));
+    }
+    return n > 0 || (n < 0 && errno == EAGAIN);
+  }
   /** Reads \a aBytes. \returns whether all of them arrived. */
   bool ReadExactly(std::size_t aBytes) const
   {
