--- a/packages/cluster/src/CrashReportCodec.cpp
+++ b/packages/cluster/src/CrashReportCodec.cpp
@@ -27,12 +27,14 @@
   protocol::Envelope envelope;
   auto& message = *envelope.mutable_crash_report();
   message.set_request_hash(aRecord.mFingerprint.Count());
+  message.set_outlived(aRecord.mOutlived);
   for (const retries::CrashedAttempt& it : aRecord.mAttempts) {
     message.add_upstreams(it.mUpstream.Text());
     protocol::CrashedAttempt& attempt = *message.add_attempts();
     attempt.set_upstream(it.mUpstream.Text());
-    attempt.set_crashed_ms_ago(ToMilliseconds(aNow - it.mBroken));
-    attempt.set_lasted_ms(ToMilliseconds(it.mBroken - it.mSent));
+    attempt.set_crashed_ms_ago(ToMilliseconds(aNow - it.CrashTime()));
+    attempt.set_lasted_ms(ToMilliseconds(it.CrashTime() - it.mSent));
+    attempt.set_cancelled_ms_before(ToMilliseconds(it.mCrashDelay));
   }
   return envelope;
 }
@@ -46,14 +48,17 @@
   }
   retries::CrashRecord record;
   record.mFingerprint = retries::Fingerprint(aMessage.request_hash());
+  record.mOutlived = aMessage.outlived();
   for (const protocol::CrashedAttempt& it : aMessage.attempts()) {
-    const base::TimePoint broken =
+    const base::TimePoint crash =
       aNow - std::chrono::milliseconds(it.crashed_ms_ago());
+    const std::chrono::milliseconds delay(
+      std::min(it.cancelled_ms_before(), it.lasted_ms()));
     record.mAttempts.push_back(
       { base::UpstreamId(it.upstream()),
-        broken - std::chrono::milliseconds(it.lasted_ms()), broken });
+        crash - std::chrono::milliseconds(it.lasted_ms()), crash - delay,
+        delay });
   }
-
   return record;
 }
 
--- /dev/null
+++ b/packages/crashes/Crashes.h
@@ -0,0 +1,3 @@
+#pragma once
+
+#include "crashes/src/CrashWatch.h"
--- a/packages/entry/src/CrashWatch.cpp
+++ b/packages/crashes/src/CrashWatch.cpp
@@ -1,14 +1,13 @@
-#include "entry/src/CrashWatch.h"
+#include "crashes/src/CrashWatch.h"
 
-namespace auburnmux::entry {
+namespace auburnmux::crashes {
 
 namespace {
 
-/** Number of upstreams that a request may crash before all hosts refuse it. */
-constexpr std::uint32_t kCrashThreshold = 3;
-
 constexpr base::Duration kProbeTimeout = std::chrono::milliseconds(500);
 
+constexpr base::Duration kTick = std::chrono::milliseconds(250);
+
 std::string_view OutcomeName(http::ConnectOutcome aOutcome)
 {
   switch (aOutcome) {
@@ -25,14 +24,23 @@
 } // namespace
 
 CrashWatch::CrashWatch(http::Loop& aLoop, http::Client& aClient,
-                       telemetry::Metrics& aMetrics,
-                       const Endpoints& aEndpoints)
+                       telemetry::Metrics& aMetrics, Finder aFinder,
+                       std::uint32_t aThreshold)
   : mLoop(aLoop)
   , mClient(aClient)
   , mMetrics(aMetrics)
-  , mEndpoints(aEndpoints)
-  , mGuard(retries::QuarantineSettings{ kCrashThreshold })
+  , mFinder(std::move(aFinder))
+  , mGuard(retries::QuarantineSettings{ aThreshold })
+  , mTick(aLoop.Every(kTick, [this] { OnTick(); }))
 {
+  mClient.ObserveIdle(
+    [this](const http::Endpoint& aEndpoint) { OnIdleClosed(aEndpoint); });
+}
+
+CrashWatch::~CrashWatch()
+{
+  mLoop.Cancel(mTick);
+  mClient.ObserveIdle(nullptr);
 }
 
 void CrashWatch::OnBroken(retries::Fingerprint aFingerprint,
@@ -43,12 +51,49 @@
   }
 }
 
+void CrashWatch::OnCancelled(retries::Fingerprint aFingerprint,
+                             const retries::CrashedAttempt& aAttempt,
+                             base::TimePoint aDeadline)
+{
+  if (!mFinder(aAttempt.mUpstream)) {
+    return;
+  }
+  mGuard.OnCancelled(mLoop.Now(), aFingerprint, aAttempt, aDeadline);
+  KeepConnection(aAttempt.mUpstream);
+}
+
+bool CrashWatch::KeepConnection(const base::UpstreamId& aUpstream)
+{
+  const auto endpoint = mFinder(aUpstream);
+  if (endpoint && mClient.HasIdle(*endpoint)) {
+    return true;
+  }
+  if (mGuard.StartProbe(mLoop.Now(), aUpstream)) {
+    Probe(aUpstream);
+  }
+  return false;
+}
+
+void CrashWatch::OnRunning(const base::UpstreamId& aUpstream)
+{
+  mGuard.OnRunning(mLoop.Now(), aUpstream);
+}
+
+void CrashWatch::OnIdleClosed(const http::Endpoint& aEndpoint)
+{
+  for (const base::UpstreamId& it : mGuard.Watched()) {
+    if (mFinder(it) == aEndpoint && mGuard.StartProbe(mLoop.Now(), it)) {
+      Probe(it);
+    }
+  }
+}
+
 void CrashWatch::Probe(const base::UpstreamId& aUpstream)
 {
-  const auto endpoint = mEndpoints.find(aUpstream);
+  const auto endpoint = mFinder(aUpstream);
   const bool isStarted =
-    endpoint != mEndpoints.end() &&
-    mClient.OpenIdle(endpoint->second, kProbeTimeout,
+    endpoint &&
+    mClient.OpenIdle(*endpoint, kProbeTimeout,
                      [this, aUpstream](http::ConnectOutcome aOutcome) {
                        OnProbeEnded(aUpstream, aOutcome);
                      });
@@ -68,6 +113,8 @@
                  { { "outcome", std::string(outcome) } });
   if (aOutcome == http::ConnectOutcome::Refused) {
     OnConnectRefused(aUpstream);
+  } else if (aOutcome == http::ConnectOutcome::Connected) {
+    OnRunning(aUpstream);
   }
   if (mGuard.OnProbeEnded(mLoop.Now(), aUpstream)) {
     Probe(aUpstream);
@@ -76,6 +123,10 @@
 
 void CrashWatch::OnConnectRefused(const base::UpstreamId& aUpstream)
 {
+  if (!mFinder(aUpstream)) {
+    mGuard.OnGone(aUpstream);
+    return;
+  }
   for (const retries::CrashRecord& it :
        mGuard.OnRefusedConnection(mLoop.Now(), aUpstream)) {
     base::LogWarning(base::LogLine("upstream_crash")
@@ -91,14 +142,25 @@
   mGuard.OnSuccess(mLoop.Now(), aFingerprint);
 }
 
-void CrashWatch::Merge(const retries::CrashRecord& aRecord)
+void CrashWatch::Merge(const retries::CrashRecord& aRecord,
+                       const base::HostId& aSender)
 {
-  mGuard.Merge(mLoop.Now(), aRecord);
+  mGuard.Merge(mLoop.Now(), aRecord, aSender);
 }
 
 void CrashWatch::OnTick()
 {
-  mGuard.OnTick(mLoop.Now());
+  const retries::GuardTick tick = mGuard.OnTick(mLoop.Now());
+  for (const retries::CrashRecord& it : tick.mRecords) {
+    mReporter(it);
+  }
+  for (const base::UpstreamId& it : tick.mUnknown) {
+    if (!mFinder(it)) {
+      mGuard.OnGone(it);
+    } else if (KeepConnection(it)) {
+      OnRunning(it);
+    }
+  }
 }
 
 bool CrashWatch::IsRefused(retries::Fingerprint aFingerprint) const
@@ -116,4 +178,4 @@
   return mGuard.MayRetryAfterBreak(mLoop.Now(), aFingerprint);
 }
 
-} // namespace auburnmux::entry
+} // namespace auburnmux::crashes
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -33,6 +33,9 @@
 constexpr base::Duration kLookupTickInterval = std::chrono::seconds(1);
 constexpr base::Duration kHostListInterval = std::chrono::seconds(30);
 
+// Number of upstreams that a request may crash before all hosts refuse it.
+constexpr std::uint32_t kCrashThreshold = 2;
+
 peer::TransportSettings MakeTransportSettings(
   const config::HostSettings& aSettings, base::Incarnation aIncarnation)
 {
@@ -75,7 +78,7 @@
   PlatformClaimStore mClaimStore;
   ClaimService mClaims;
   SpillService mSpill;
-  retries::CrashQuarantine mQuarantine;
+  crashes::CrashWatch mCrashes;
   ServiceManager mServiceManager;
   AdminPages mPages;
   http::Server mServer;
@@ -88,9 +91,7 @@
   void OnEnvelope(const protocol::Envelope& aEnvelope);
   void OnViewChanged();
   void OnConfigChanged(const config::Snapshot& aSnapshot);
-  void ReportCrash(const base::ServiceId& aService,
-                   const retries::CrashRecord& aRecord);
-  void OnCrashReport(const protocol::CrashReport& aMessage);
+  void OnCrashReport(const protocol::Envelope& aEnvelope);
   void ReadHostList();
 };
 
@@ -128,12 +129,14 @@
           service->SpillQueuedRequests();
         }
       })
+  , mCrashes(
+      mLoop, mClient, mMetrics,
+      [this](const base::UpstreamId& aId) {
+        return mServiceManager.FindStaying(aId);
+      },
+      kCrashThreshold)
   , mServiceManager(mContext, mCluster,
-                    { mClaims, mSpill, mQuarantine,
-                      [this](const base::ServiceId& aService,
-                             const retries::CrashRecord& aRecord) {
-                        ReportCrash(aService, aRecord);
-                      },
+                    { mClaims, mSpill, mCrashes,
                       [this](const std::string& aAddress) {
                         return mLookup.ForeignRegion(aAddress);
                       } })
@@ -150,6 +153,9 @@
 
 void Daemon::Impl::Start()
 {
+  mCrashes.ReportTo([this](const retries::CrashRecord& aRecord) {
+    mCluster.Broadcast(cluster::ToCrashReport(mLoop.Now(), aRecord));
+  });
   mCluster.Start();
   mConfig.Start();
   mClaims.Start();
@@ -200,7 +206,7 @@
       mSpill.OnMessage(aEnvelope);
       return;
     case protocol::Envelope::kCrashReport:
-      OnCrashReport(aEnvelope.crash_report());
+      OnCrashReport(aEnvelope);
       return;
     default:
       return;
@@ -211,7 +217,7 @@
 {
   mLookup.OnViewChanged();
   mSpill.OnViewChanged();
-  mCluster.InformJoinedHosts(mQuarantine.Refused(mLoop.Now()));
+  mCluster.InformJoinedHosts(mCrashes.Refused());
   if (const config::Snapshot* snapshot = mConfig.State().InForce()) {
     mServiceManager.Configure(*snapshot);
   }
@@ -225,20 +231,11 @@
   mServiceManager.Configure(aSnapshot);
 }
 
-void Daemon::Impl::ReportCrash(const base::ServiceId& aService,
-                               const retries::CrashRecord& aRecord)
-{
-  base::LogWarning(base::LogLine("upstream_crash")
-                     .With("service", aService)
-                     .With("fingerprint", aRecord.mFingerprint)
-                     .With("upstreams", aRecord.mAttempts.size()));
-  mCluster.Broadcast(cluster::ToCrashReport(mLoop.Now(), aRecord));
-}
-
-void Daemon::Impl::OnCrashReport(const protocol::CrashReport& aMessage)
+void Daemon::Impl::OnCrashReport(const protocol::Envelope& aEnvelope)
 {
-  if (const auto record = cluster::FromWire(mLoop.Now(), aMessage)) {
-    mQuarantine.Merge(mLoop.Now(), *record);
+  if (const auto record =
+        cluster::FromWire(mLoop.Now(), aEnvelope.crash_report())) {
+    mCrashes.Merge(*record, base::HostId(aEnvelope.sender()));
   }
 }
 
--- a/packages/daemon/src/RequestForwarder.cpp
+++ b/packages/daemon/src/RequestForwarder.cpp
@@ -76,7 +76,7 @@
   mFingerprint = retries::MakeFingerprint(
     mPlan.mService, mExchange->Head().mMethod, mPlan.mTarget,
     mPlan.mKey ? mPlan.mKey->Text() : mBody);
-  if (mService.Dependencies().mQuarantine.IsRefused(now, mFingerprint)) {
+  if (mService.Dependencies().mCrashes.IsRefused(mFingerprint)) {
     Refuse({ 503, base::WorkOutcome::NotRun,
              "this request crashed upstreams and is refused for a while",
              kQuarantineRetryAfter });
@@ -439,7 +439,7 @@
           policy.Decide(aNow, activity))) {
       const bool mayHaveReached = it->MayHaveReached();
       const auto attempt = it;
-      attempt->Cancel();
+      Cancel(*attempt);
       Fail(*attempt, base::FailureKind::Stalled, mayHaveReached);
       return true;
     }
@@ -454,7 +454,7 @@
     if (it->Id() == aAttempt) {
       const auto attempt = it;
       const bool mayHaveReached = attempt->MayHaveReached();
-      attempt->Cancel();
+      Cancel(*attempt);
       Fail(*attempt, base::FailureKind::Stalled, mayHaveReached);
       return;
     }
--- a/packages/daemon/src/RequestForwarder.h
+++ b/packages/daemon/src/RequestForwarder.h
@@ -131,6 +131,9 @@
                      bool aIsBodyOmitted);
   void SettleClaim(base::WorkOutcome aOutcome);
   void CancelAttempts(const UpstreamAttempt* aExcept);
+  /** Cancels the attempt, and reports to the crash watch that its upstream may
+   * still be running it. */
+  void Cancel(UpstreamAttempt& aAttempt);
   void EndAttempt(UpstreamAttempt& aAttempt, const char* aResult,
                   TicketEnd aEnd = TicketEnd::Served);
   void RelayResponse(const http::ResponseHead& aHead, const std::string& aBody,
@@ -166,6 +169,9 @@
   bool mIsAnswered = false;
   bool mIsFinished = false;
   bool mMayHaveRun = false;
+  /** Whether the connection of an attempt broke while it was in flight. */
+  bool mHasBroken = false;
+  bool mHasSucceeded = false;
 };
 
 } // namespace auburnmux::daemon
--- a/packages/daemon/src/RequestForwarderAttempts.cpp
+++ b/packages/daemon/src/RequestForwarderAttempts.cpp
@@ -87,6 +87,7 @@
   const http::Headers& headers = aAttempt.Head().mHeaders;
   const auto load = headers.Find("upstream-load");
   const auto fraction = load ? ParseLoad(*load) : std::nullopt;
+  mService.Dependencies().mCrashes.OnRunning(*upstream);
   balancing::VisitPool(mService.Upstreams().Pool(), [&](auto& aPool) {
     aPool.OnFirstByte(now, aAttempt.Id());
     if (fraction) {
@@ -184,6 +185,11 @@
 {
   const auto self = shared_from_this();
   const auto keep = aAttempt.shared_from_this();
+  const auto* upstream = std::get_if<base::UpstreamId>(&aAttempt.Target());
+  if (upstream != nullptr &&
+      aFailure.mKind == http::FailureKind::ConnectRefused) {
+    mService.Dependencies().mCrashes.OnConnectRefused(*upstream);
+  }
   Fail(aAttempt, ToFailureKind(aFailure.mKind), aFailure.mMayHaveReached);
 }
 
@@ -202,7 +208,8 @@
     mService.Admission().OnServed(mPlan.mClass, latency);
     mService.Hedge().OnLatency(mPlan.mClass, now - mFirstDispatch);
   }
-  mService.Dependencies().mQuarantine.OnSuccess(now, mFingerprint);
+  mHasSucceeded = true;
+  mService.Dependencies().mCrashes.OnSuccess(mFingerprint);
   if (mClaim) {
     RecordOutcome(aAttempt.Head(), aAttempt.Body(),
                   mCommittedAttempt == &aAttempt);
@@ -245,12 +252,10 @@
   const bool isCrash = aKind == base::FailureKind::Reset && aMayHaveReached &&
                        !aAttempt.HasHead() && upstream != nullptr;
   if (isCrash) {
-    const base::TimePoint now = mService.Context().mLoop.Now();
-    const auto record = mService.Dependencies().mQuarantine.OnCrash(
-      now, mFingerprint, { *upstream, aAttempt.StartTime(), now });
-    if (record) {
-      mService.Dependencies().mReportCrash(mPlan.mService, *record);
-    }
+    mHasBroken = true;
+    mService.Dependencies().mCrashes.OnBroken(
+      mFingerprint,
+      { *upstream, aAttempt.StartTime(), mService.Context().mLoop.Now() });
   }
   const bool wasCommitted = mCommittedAttempt == &aAttempt;
   EndAttempt(aAttempt, FailureText(aKind),
@@ -273,8 +278,10 @@
   failed.mWork = mPlan.mKind;
   failed.mBytesMayHaveArrived = aMayHaveReached;
   failed.mOtherMayHaveRun = mMayHaveRun;
+  const crashes::CrashWatch& crashes = mService.Dependencies().mCrashes;
   failed.mQuarantined =
-    mService.Dependencies().mQuarantine.IsRefused(now, mFingerprint);
+    crashes.IsRefused(mFingerprint) ||
+    (mHasBroken && !crashes.MayRetryAfterBreak(mFingerprint));
   failed.mForwarded = mPlan.mGrant.has_value();
   failed.mAttempts = mAttemptCount;
   failed.mRemaining = mPlan.mDeadline - now;
--- a/packages/daemon/src/RequestForwarderResponse.cpp
+++ b/packages/daemon/src/RequestForwarderResponse.cpp
@@ -44,7 +44,7 @@
     if (it.get() == aExcept) {
       continue;
     }
-    it->Cancel();
+    Cancel(*it);
     balancing::VisitPool(mService.Upstreams().Pool(), [&](auto& aPool) {
       aPool.OnCancel(context.mLoop.Now(), context.mRandom, it->Id());
     });
@@ -52,6 +52,19 @@
   }
 }
 
+void RequestForwarder::Cancel(UpstreamAttempt& aAttempt)
+{
+  const bool isRunning = aAttempt.MayHaveReached() && !aAttempt.IsOver();
+  aAttempt.Cancel();
+  const auto* upstream = std::get_if<base::UpstreamId>(&aAttempt.Target());
+  if (isRunning && upstream != nullptr && !mHasSucceeded) {
+    mService.Dependencies().mCrashes.OnCancelled(
+      mFingerprint,
+      { *upstream, aAttempt.StartTime(), mService.Context().mLoop.Now() },
+      mPlan.mDeadline);
+  }
+}
+
 void RequestForwarder::EndAttempt(UpstreamAttempt& aAttempt,
                                   const char* aResult, TicketEnd aEnd)
 {
--- a/packages/daemon/src/ServiceManager.cpp
+++ b/packages/daemon/src/ServiceManager.cpp
@@ -132,6 +132,19 @@
   return it == mServices.end() ? nullptr : it->second.get();
 }
 
+std::optional<http::Endpoint> ServiceManager::FindStaying(
+  const base::UpstreamId& aId) const
+{
+  for (const auto& [id, service] : mServices) {
+    UpstreamSet& upstreams = service->Upstreams();
+    const http::Endpoint* endpoint = upstreams.Find(aId);
+    if (endpoint != nullptr && !upstreams.IsLeaving(aId)) {
+      return *endpoint;
+    }
+  }
+  return std::nullopt;
+}
+
 void ServiceManager::Accept(
   const std::shared_ptr<http::ServerExchange>& aExchange)
 {
--- a/packages/daemon/src/ServiceManager.h
+++ b/packages/daemon/src/ServiceManager.h
@@ -25,6 +25,9 @@
 
   /** \returns the service, or null when the configuration doesn't have it. */
   ServiceRuntime* Find(const base::ServiceId& aService);
+  /** \returns the endpoint of an upstream; none if no service has it or it
+   * leaves. */
+  std::optional<http::Endpoint> FindStaying(const base::UpstreamId& aId) const;
   const std::map<base::ServiceId, std::unique_ptr<ServiceRuntime>>& Services()
     const
   {
--- a/packages/daemon/src/ServiceRuntime.h
+++ b/packages/daemon/src/ServiceRuntime.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crashes/Crashes.h"
 #include "daemon/src/ClaimInterface.h"
 #include "daemon/src/DaemonContext.h"
 #include "daemon/src/RequestForwarder.h"
@@ -15,17 +16,12 @@
 
 namespace auburnmux::daemon {
 
-/** Reports a request that crashes upstreams to the peers. */
-using CrashReporter =
-  std::function<void(const base::ServiceId&, const retries::CrashRecord&)>;
-
 /** Parts of the daemon that requests use. */
 struct RequestDependencies
 {
   ClaimInterface& mClaims;
   SpillInterface& mSpill;
-  retries::CrashQuarantine& mQuarantine;
-  CrashReporter mReportCrash;
+  crashes::CrashWatch& mCrashes;
   /** \returns the region of a client address if it differs from this host's. */
   std::function<std::optional<base::RegionId>(const std::string&)>
     mForeignRegion;
--- a/packages/daemon/src/UpstreamSet.cpp
+++ b/packages/daemon/src/UpstreamSet.cpp
@@ -89,6 +89,15 @@
   return it == mEntries.end() ? nullptr : &it->second.mEndpoint;
 }
 
+bool UpstreamSet::IsLeaving(const base::UpstreamId& aUpstream)
+{
+  const auto all = Status(mContext.mLoop.Now());
+  return std::any_of(all.begin(), all.end(),
+                     [&](const balancing::UpstreamStatus& aIt) {
+                       return aIt.mId == aUpstream && aIt.mLeaving;
+                     });
+}
+
 base::SlotCount UpstreamSet::Share(const base::UpstreamId& aUpstream) const
 {
   const auto it = mEntries.find(aUpstream);
--- a/packages/daemon/src/UpstreamSet.h
+++ b/packages/daemon/src/UpstreamSet.h
@@ -36,6 +36,8 @@
   balancing::Pool& Pool() { return mPool; }
   /** \returns the upstream's endpoint, or null when it was removed. */
   const http::Endpoint* Find(const base::UpstreamId& aUpstream) const;
+  /** \returns whether the upstream is configured or announced to leave. */
+  bool IsLeaving(const base::UpstreamId& aUpstream);
   /** \returns this host's share of the upstream's slots. */
   base::SlotCount Share(const base::UpstreamId& aUpstream) const;
 
--- a/packages/entry/src/Attempt.cpp
+++ b/packages/entry/src/Attempt.cpp
@@ -36,6 +36,7 @@
   mHead = aHead;
   mFields = mServices.mTranslator.ReadResponse(aHead);
   if (!mFields.mIsOtherUpstream) {
+    mServices.mCrashes.OnRunning(mPlace.mUpstream);
     ReportUpstream();
   }
   mClassification =
--- a/packages/entry/src/EntryNode.cpp
+++ b/packages/entry/src/EntryNode.cpp
@@ -282,10 +282,7 @@
   mServices.mQuotas = &mQuotas;
   mFront.CountHeldBytes(mHeld);
   mTick = mLoop.Every(kTick, [this] { OnTick(); });
-  mCountTimer = mLoop.Every(kHostCountInterval, [this] {
-    UpdateHostCounts();
-    mServices.mCrashes.OnTick();
-  });
+  mCountTimer = mLoop.Every(kHostCountInterval, [this] { UpdateHostCounts(); });
   mServices.mReportLeaving = [this](const base::UpstreamId& aUpstream,
                                     base::TimePoint aSentAt) {
     OnLeavingAnnounced(aUpstream, aSentAt);
@@ -335,7 +332,7 @@
   }
   if (const auto record =
         cluster::FromWire(mLoop.Now(), aEnvelope.crash_report())) {
-    mServices.mCrashes.Merge(*record);
+    mServices.mCrashes.Merge(*record, base::HostId(aEnvelope.sender()));
   }
 }
 
--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -139,6 +139,9 @@
   void CancelAttempt(placing::Outcome aOutcome);
   /** Reports a failed attempt to the crash watch. */
   void ReportFailure(const http::Failure& aFailure);
+  /** Reports to the crash watch that this host ends the attempt while its
+   * upstream may be running it. */
+  void ReportEndedEarly();
   void StartStragglerTimer();
   /** Replaces an attempt that takes too long by one at another upstream. */
   void ReplaceStraggler();
--- a/packages/entry/src/RequestForwarderAttempts.cpp
+++ b/packages/entry/src/RequestForwarderAttempts.cpp
@@ -39,7 +39,8 @@
 bool RequestForwarder::MayReplaceStraggler()
 {
   return mStateMachine->MayReplaceAttempt() && !mAttempt->HasHead() &&
-         !mServices.mCrashes.IsRefused(mFingerprint) && !IdentifyAgain();
+         mServices.mCrashes.MayRetryAfterBreak(mFingerprint) &&
+         !IdentifyAgain();
 }
 
 void RequestForwarder::ReplaceStraggler()
@@ -267,6 +268,9 @@
     mHasBroken = true;
     mServices.mCrashes.OnBroken(mFingerprint,
                                 { upstream, now - mAttempt->Elapsed(), now });
+  } else if (aFailure.mKind == http::FailureKind::Malformed &&
+             aFailure.mMayHaveReached) {
+    ReportEndedEarly();
   }
   if (aFailure.mKind == http::FailureKind::Reset && aFailure.mMayHaveReached &&
       aFailure.mIdleBefore) {
@@ -295,7 +299,19 @@
 {
   EndAttempt(aOutcome);
   LogCancelled(aOutcome);
+  const bool mayHaveReached = mAttempt->Exchange().MayHaveReached();
   mAttempt->Cancel();
+  if (mayHaveReached) {
+    ReportEndedEarly();
+  }
+}
+
+void RequestForwarder::ReportEndedEarly()
+{
+  const base::TimePoint now = mServices.mLoop.Now();
+  mServices.mCrashes.OnCancelled(
+    mFingerprint,
+    { mAttempt->Place().mUpstream, now - mAttempt->Elapsed(), now }, mDeadline);
 }
 
 } // namespace auburnmux::entry
--- a/packages/entry/src/Services.h
+++ b/packages/entry/src/Services.h
@@ -4,7 +4,7 @@
 #include "buffering/Buffering.h"
 #include "carriage/Carriage.h"
 #include "cluster/Cluster.h"
-#include "entry/src/CrashWatch.h"
+#include "crashes/Crashes.h"
 #include "entry/src/Dispatcher.h"
 #include "entry/src/EntrySettings.h"
 #include "entry/src/QuotaNode.h"
@@ -30,6 +30,10 @@
 /** State shared by all requests of one host; it must outlive them. */
 struct Services
 {
+  /** Number of upstreams that a request may crash before all hosts refuse it.
+   */
+  static constexpr std::uint32_t kCrashThreshold = 3;
+
   http::Loop& mLoop;
   http::Client& mClient;
   telemetry::Metrics& mMetrics;
@@ -44,11 +48,15 @@
   routing::SplitSelector mSplits{};
   placing::Placement mPlacement;
   Dispatcher mDispatcher{ mLoop, mPlacement };
-  CrashWatch::Endpoints mEndpoints{};
+  std::unordered_map<base::UpstreamId, http::Endpoint> mEndpoints{};
   std::map<base::ServiceId, carriage::WindowedRetryBudget> mRetryBudgets{};
   /** Longest time left that a request arrived with, by route. */
   std::unordered_map<routing::RouteId, base::Duration> mMaxTimeLeft{};
-  CrashWatch mCrashes{ mLoop, mClient, mMetrics, mEndpoints };
+  crashes::CrashWatch mCrashes{ mLoop, mClient, mMetrics,
+                                [this](const base::UpstreamId& aId) {
+                                  return FindStaying(aId);
+                                },
+                                kCrashThreshold };
   retries::StragglerPolicy mStragglers{};
   /** Set before the first request. */
   QuotaNode* mQuotas = nullptr;
@@ -91,6 +99,13 @@
     return mHoldPolicy.ExchangeBound(mHeld->Total());
   }
 
+  /** \returns the endpoint of an upstream; none if it is unknown or leaves. */
+  std::optional<http::Endpoint> FindStaying(const base::UpstreamId& aId) const
+  {
+    const auto it = mEndpoints.find(aId);
+    const bool isStaying = it != mEndpoints.end() && !mPlacement.IsLeaving(aId);
+    return isStaying ? std::optional(it->second) : std::nullopt;
+  }
   /** \returns the retry budget of \a aService. */
   carriage::WindowedRetryBudget& RetryBudget(const base::ServiceId& aService)
   {
--- a/packages/http/src/Client.cpp
+++ b/packages/http/src/Client.cpp
@@ -59,6 +59,12 @@
     // The most recently used connection is at the end.
     mIdle[aConnection->RemoteEndpoint()].push_back(aConnection);
   }
+  void OnIdleClosed(const Endpoint& aEndpoint) override
+  {
+    if (mIdleObserver) {
+      mIdleObserver(aEndpoint);
+    }
+  }
   void OnConnectionClosed(const HttpClientConnection& aConnection) override;
 
   std::shared_ptr<HttpClientConnection> TakeIdle(const ClientRequest& aRequest);
@@ -77,6 +83,7 @@
                      std::shared_ptr<HttpClientConnection>>
     mConnections;
   std::map<Endpoint, Connections> mIdle;
+  std::function<void(const Endpoint&)> mIdleObserver;
 };
 
 void Client::Impl::OnConnectionClosed(const HttpClientConnection& aConnection)
@@ -228,6 +235,11 @@
   }
 }
 
+void Client::ObserveIdle(std::function<void(const Endpoint&)> aObserver)
+{
+  mImpl->mIdleObserver = std::move(aObserver);
+}
+
 std::uint64_t Client::OpenedConnections() const
 {
   return mImpl->mOpenedConnections;
--- a/packages/http/src/Client.h
+++ b/packages/http/src/Client.h
@@ -197,6 +197,9 @@
   bool HasIdle(const Endpoint& aEndpoint) const;
   /** Closes the idle connections to \a aEndpoint. */
   void CloseIdle(const Endpoint& aEndpoint);
+  /** Calls \a aObserver, from then on, when a server has closed an idle
+   * connection. Null ends this. */
+  void ObserveIdle(std::function<void(const Endpoint&)> aObserver);
   /** \returns the number of connections opened so far. */
   std::uint64_t OpenedConnections() const;
 
--- a/packages/http/src/HttpClientConnection.cpp
+++ b/packages/http/src/HttpClientConnection.cpp
@@ -282,7 +282,11 @@
   mInputStart = 0;
   const TcpStream::ReadResult result = mStream.Read(mInput);
   mMayHaveUnread = result == TcpStream::ReadResult::Data;
-  if (!mExchange && !mInput.empty()) {
+  const bool isEnd = result == TcpStream::ReadResult::End ||
+                     result == TcpStream::ReadResult::Broken;
+  if (!mExchange && isEnd) {
+    HandleIdleEnd();
+  } else if (!mExchange && !mInput.empty()) {
     Close(); // unsolicited bytes on an idle connection
   } else if (result == TcpStream::ReadResult::End) {
     HandleEnd();
@@ -371,10 +375,6 @@
 
 void HttpClientConnection::HandleEnd()
 {
-  if (!mExchange) {
-    Close();
-    return;
-  }
   if (mHasHead && !mIsForeign && IsRequestReceived() &&
       mReader->EndsWithConnection() &&
       mReader->ReadEnd() == ReadState::Complete) {
@@ -385,6 +385,13 @@
   Fail(mHasHead && !mIsForeign ? FailureKind::Truncated : FailureKind::Reset);
 }
 
+void HttpClientConnection::HandleIdleEnd()
+{
+  const auto self = shared_from_this();
+  Close();
+  mOwner.OnIdleClosed(mEndpoint);
+}
+
 bool HttpClientConnection::IsRequestReceived() const
 {
   return mExchange->IsRequestComplete() && mStream.UnacknowledgedBytes() == 0;
--- a/packages/http/src/HttpClientConnection.h
+++ b/packages/http/src/HttpClientConnection.h
@@ -79,6 +79,8 @@
     /** The connection is idle and may carry another request. */
     virtual void OnIdle(
       const std::shared_ptr<HttpClientConnection>& aConnection) = 0;
+    /** The server closed an idle connection. */
+    virtual void OnIdleClosed(const Endpoint& aEndpoint) = 0;
     /** The connection's socket is closed. */
     virtual void OnConnectionClosed(
       const HttpClientConnection& aConnection) = 0;
@@ -145,6 +147,8 @@
   bool IsSkipping() const { return mIsInterim || mIsForeign; }
   void CompleteResponse();
   void Fail(FailureKind aKind);
+  /** The server closed the connection, which was idle. */
+  void HandleIdleEnd();
   /** Reports the outcome of connecting, if anybody waits for it. */
   void ReportConnected(ConnectOutcome aOutcome);
   void StopConnectTimer();
--- a/packages/placing/src/Placement.cpp
+++ b/packages/placing/src/Placement.cpp
@@ -149,6 +149,12 @@
                                 : std::optional(it->second->mSpec.mService);
 }
 
+bool Placement::IsLeaving(const base::UpstreamId& aId) const
+{
+  const auto it = mUpstreams.find(aId);
+  return it != mUpstreams.end() && it->second->mIsLeaving;
+}
+
 base::Duration Placement::ExpectedWork(const PlaceRequest& aRequest) const
 {
   return mWorkEstimates.Estimate(aRequest.mKind, Warmth::None,
--- a/packages/placing/src/Placement.h
+++ b/packages/placing/src/Placement.h
@@ -245,6 +245,8 @@
   Wait EstimateWait(const PlaceRequest& aRequest) const;
   /** \returns the service of an upstream; none if the upstream is unknown. */
   std::optional<base::ServiceId> ServiceOf(const base::UpstreamId& aId) const;
+  /** \returns whether an upstream announced that it leaves. */
+  bool IsLeaving(const base::UpstreamId& aId) const;
   /** \returns the tracker of an upstream; null if the upstream is unknown. */
   const UpstreamTracker* Tracker(const base::UpstreamId& aId) const;
 
--- a/packages/retries/src/CrashGuard.cpp
+++ b/packages/retries/src/CrashGuard.cpp
@@ -1,5 +1,7 @@
 #include "retries/src/CrashGuard.h"
 
+#include <utility>
+
 namespace auburnmux::retries {
 
 CrashGuard::CrashGuard(QuarantineSettings aSettings)
@@ -13,6 +15,13 @@
   return mDetector.OnBroken(aNow, aFingerprint, aAttempt);
 }
 
+void CrashGuard::OnCancelled(base::TimePoint aNow, Fingerprint aFingerprint,
+                             const CrashedAttempt& aAttempt,
+                             base::TimePoint aDeadline)
+{
+  mDetector.OnCancelled(aNow, aFingerprint, aAttempt, aDeadline);
+}
+
 bool CrashGuard::OnProbeEnded(base::TimePoint aNow,
                               const base::UpstreamId& aUpstream)
 {
@@ -35,12 +44,28 @@
 
 void CrashGuard::OnSuccess(base::TimePoint aNow, Fingerprint aFingerprint)
 {
+  mDetector.OnSuccess(aFingerprint);
   mQuarantine.OnSuccess(aNow, aFingerprint);
 }
 
-void CrashGuard::Merge(base::TimePoint aNow, const CrashRecord& aRecord)
+GuardTick CrashGuard::OnTick(base::TimePoint aNow)
+{
+  CancelledCheck check = mDetector.CheckCancelled(aNow);
+  GuardTick result;
+  for (const Fingerprint it : check.mOutlived) {
+    if (auto record = mQuarantine.OnOutlived(aNow, it)) {
+      result.mRecords.push_back(std::move(*record));
+    }
+  }
+  result.mUnknown = std::move(check.mUnknown);
+  mDetector.RemoveExpired(aNow);
+  return result;
+}
+
+void CrashGuard::Merge(base::TimePoint aNow, const CrashRecord& aRecord,
+                       const base::HostId& aSender)
 {
-  mQuarantine.Merge(aNow, aRecord);
+  mQuarantine.Merge(aNow, aRecord, aSender);
 }
 
 bool CrashGuard::IsRefused(base::TimePoint aNow, Fingerprint aFingerprint) const
--- a/packages/retries/src/CrashQuarantine.cpp
+++ b/packages/retries/src/CrashQuarantine.cpp
@@ -9,9 +9,22 @@
 
 namespace {
 
-/** Maximum number of attempts of a peer's record that are read. */
+/** Maximum number of attempts of a request that are kept. */
 constexpr std::size_t kMaxAttempts = 16;
 
+/** Crashes within this time are attributed to one cause if the request's
+ * attempt had ended before. */
+constexpr base::Duration kCommonCause = std::chrono::milliseconds(250);
+
+/** \returns whether \a aNext is evidence of its own beside \a aLast. */
+bool IsIndependent(const CrashedAttempt& aLast, const CrashedAttempt& aNext)
+{
+  const bool hadEnded = aLast.mCrashDelay > base::Duration::zero();
+  return aNext.mSent >= aLast.mBroken &&
+         (!hadEnded || std::chrono::abs(aNext.CrashTime() - aLast.CrashTime()) >
+                         kCommonCause);
+}
+
 } // namespace
 
 Fingerprint MakeFingerprint(const base::ServiceId& aService,
@@ -40,14 +53,17 @@
   if (entry.mAttempts.size() == before) {
     return std::nullopt;
   }
-  return CrashRecord{ aFingerprint, entry.mAttempts };
+  return CrashRecord{ aFingerprint, entry.mAttempts, entry.mOutlived };
 }
 
-void CrashQuarantine::Merge(TimePoint aNow, const CrashRecord& aRecord)
+void CrashQuarantine::Merge(TimePoint aNow, const CrashRecord& aRecord,
+                            const base::HostId& aSender)
 {
   std::vector<CrashedAttempt> attempts = aRecord.mAttempts;
   attempts.resize(std::min(attempts.size(), kMaxAttempts));
   Entry& entry = FindOrInsert(aNow, aRecord.mFingerprint);
+  std::uint32_t& outlived = entry.mOutlivedElsewhere[aSender];
+  outlived = std::max(outlived, aRecord.mOutlived);
   Add(entry, attempts);
   UpdateRefusal(aNow, entry);
 }
@@ -58,8 +74,8 @@
   return std::any_of(aEntry.mAttempts.begin(), aEntry.mAttempts.end(),
                      [&](const CrashedAttempt& aOther) {
                        return aOther.mUpstream == aAttempt.mUpstream &&
-                              std::chrono::abs(aOther.mBroken -
-                                               aAttempt.mBroken) <
+                              std::chrono::abs(aOther.CrashTime() -
+                                               aAttempt.CrashTime()) <
                                 mSettings.mSameCrashWindow;
                      });
 }
@@ -81,9 +97,9 @@
   // the longest sequence without overlaps.
   aEntry.mAttempts.clear();
   for (const CrashedAttempt& it : all) {
-    const bool isLater =
-      aEntry.mAttempts.empty() || it.mSent >= aEntry.mAttempts.back().mBroken;
-    if (isLater && aEntry.mAttempts.size() < mSettings.mCrashThreshold) {
+    const bool counts =
+      aEntry.mAttempts.empty() || IsIndependent(aEntry.mAttempts.back(), it);
+    if (counts && aEntry.mAttempts.size() < kMaxAttempts) {
       aEntry.mAttempts.push_back(it);
     }
   }
@@ -96,6 +112,24 @@
   }
 }
 
+std::optional<CrashRecord> CrashQuarantine::OnOutlived(TimePoint aNow,
+                                                       Fingerprint aFingerprint)
+{
+  const auto it = mEntries.find(aFingerprint);
+  if (it == mEntries.end() || IsRefused(aNow, aFingerprint)) {
+    return std::nullopt;
+  }
+  Entry& entry = it->second;
+  ++entry.mOutlived;
+  // Above the maximum, further reports would not change any host's decision.
+  const bool isReported =
+    entry.mOutlived % mSettings.mMaxOutlivedPerCrash == 0 &&
+    entry.mOutlived <= kMaxAttempts * mSettings.mMaxOutlivedPerCrash;
+  return isReported ? std::optional(CrashRecord{ aFingerprint, entry.mAttempts,
+                                                 entry.mOutlived })
+                    : std::nullopt;
+}
+
 bool CrashQuarantine::IsRefused(TimePoint aNow, Fingerprint aFingerprint) const
 {
   const auto it = mEntries.find(aFingerprint);
@@ -108,7 +142,7 @@
   std::vector<CrashRecord> refused;
   for (const auto& [fingerprint, entry] : mEntries) {
     if (IsRefused(aNow, fingerprint)) {
-      refused.push_back({ fingerprint, entry.mAttempts });
+      refused.push_back({ fingerprint, entry.mAttempts, entry.mOutlived });
     }
   }
   return refused;
@@ -121,8 +155,11 @@
   if (it == mEntries.end() || aNow >= it->second.mExpires) {
     return mSettings.mCrashThreshold;
   }
-  return mSettings.mCrashThreshold -
-         static_cast<std::uint32_t>(it->second.mAttempts.size());
+  if (it->second.mRefusedUntil) {
+    return 0;
+  }
+  const auto n = static_cast<std::uint32_t>(it->second.mAttempts.size());
+  return n < mSettings.mCrashThreshold ? mSettings.mCrashThreshold - n : 1;
 }
 
 CrashQuarantine::Entry& CrashQuarantine::FindOrInsert(TimePoint aNow,
@@ -143,10 +180,16 @@
 
 void CrashQuarantine::UpdateRefusal(TimePoint aNow, Entry& aEntry)
 {
-  const bool isRefused = aEntry.mAttempts.size() >= mSettings.mCrashThreshold;
+  std::uint32_t outlived = aEntry.mOutlived;
+  for (const auto& [host, n] : aEntry.mOutlivedElsewhere) {
+    outlived += n;
+  }
+  const std::size_t n = aEntry.mAttempts.size();
+  const bool isRefused = n >= mSettings.mCrashThreshold &&
+                         outlived <= n * mSettings.mMaxOutlivedPerCrash;
   if (isRefused && !aEntry.mRefusedUntil) {
     aEntry.mRefusedUntil =
-      aEntry.mAttempts.back().mBroken + mSettings.mRefusalTime;
+      aEntry.mAttempts.back().CrashTime() + mSettings.mRefusalTime;
   }
   aEntry.mExpires =
     aEntry.mRefusedUntil.value_or(aNow + mSettings.mRefusalTime);
--- a/packages/retries/src/CrashQuarantine.h
+++ b/packages/retries/src/CrashQuarantine.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <list>
+#include <map>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
@@ -21,12 +22,18 @@
                             std::string_view aMethod, std::string_view aPath,
                             std::string_view aContent);
 
-/** An attempt whose connection broke as its upstream crashed. */
+/** An attempt that ended in the crash of its upstream, or shortly before. */
 struct CrashedAttempt
 {
   base::UpstreamId mUpstream;
   base::TimePoint mSent;
+  /** When the connection broke, or this side closed it. */
   base::TimePoint mBroken;
+  /** Time from this side's close to the crash; zero if the crash broke the
+   * connection. */
+  base::Duration mCrashDelay{};
+
+  base::TimePoint CrashTime() const { return mBroken + mCrashDelay; }
 };
 
 /** Crashes attributed to one fingerprint, as sent to peers. */
@@ -34,6 +41,9 @@
 {
   Fingerprint mFingerprint;
   std::vector<CrashedAttempt> mAttempts;
+  /** Attempts of the sender that it ended and whose upstreams went on running,
+   * since it learned of a crash. */
+  std::uint32_t mOutlived = 0;
 };
 
 /** Bounds of CrashQuarantine. */
@@ -44,6 +54,10 @@
   /** Reports of crashes of one upstream within this time count as one. */
   base::Duration mSameCrashWindow = std::chrono::seconds(2);
   std::size_t mMaxEntries = 4096;
+  /** Maximum number of attempts, for each crash, that all hosts ended and whose
+   * upstreams went on running. Above it, the crashes are not attributed to the
+   * request. */
+  std::uint32_t mMaxOutlivedPerCrash = 8;
 };
 
 /**
@@ -51,7 +65,11 @@
  * flight at the upstream, including harmless ones. A fingerprint that succeeds
  * later is therefore cleared unless it is already refused, and of attempts that
  * overlapped in time only one counts: upstreams that crash together, for
- * another reason, have copies of any frequent request in flight.
+ * another reason, have copies of any frequent request in flight. The same holds
+ * for attempts that this side had ended before, if their upstreams crashed at
+ * the same time. Such attempts have no response that would clear the request;
+ * instead, crashes count only if they are more frequent among the attempts than
+ * upstreams that went on running allow.
  */
 class CrashQuarantine
 {
@@ -63,9 +81,14 @@
   std::optional<CrashRecord> OnCrash(base::TimePoint aNow,
                                      Fingerprint aFingerprint,
                                      const CrashedAttempt& aAttempt);
-  /** Merges a peer's record; merging it twice has no further effect. */
-  void Merge(base::TimePoint aNow, const CrashRecord& aRecord);
+  /** Merges the record of a peer; merging it twice has no further effect. */
+  void Merge(base::TimePoint aNow, const CrashRecord& aRecord,
+             const base::HostId& aSender = {});
   void OnSuccess(base::TimePoint aNow, Fingerprint aFingerprint);
+  /** The upstream of an attempt that this side ended went on running.
+   * \returns the record to send to peers; none unless it changes much */
+  std::optional<CrashRecord> OnOutlived(base::TimePoint aNow,
+                                        Fingerprint aFingerprint);
 
   bool IsRefused(base::TimePoint aNow, Fingerprint aFingerprint) const;
   /** \returns the requests that are refused, to send to a host that joins. */
@@ -83,6 +106,9 @@
     std::vector<CrashedAttempt> mAttempts;
     std::optional<base::TimePoint> mRefusedUntil;
     base::TimePoint mExpires{};
+    /** See CrashRecord::mOutlived; of this host and of others. */
+    std::uint32_t mOutlived = 0;
+    std::map<base::HostId, std::uint32_t> mOutlivedElsewhere;
     std::list<Fingerprint>::iterator mLruPosition;
   };
 
