--- a/packages/http/test/MessageReaderTest.cpp
+++ b/packages/http/test/MessageReaderTest.cpp
@@ -188,17 +188,22 @@
   }
 }
 
+const std::string kChunkedRequest =
+  "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string kChunkedResponse =
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 const std::vector<std::string> kRequests = {
   "GET / HTTP/1.1\r\n\r\n",
   "GET /a?b=c HTTP/1.1\r\nHost: h\r\n\r\n",
   "GET /a HTTP/1.0\r\nHost: h\r\nX:\r\nY: folded\r\n value\r\n\r\n",
   "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
   "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nabc\r\n",
-  "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-  "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0000\r\n\r\n",
-  "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-  "1\r\nX\r\n4;e=f\r\n\r\n\r\n\r\na\r\n0123456789\r\n0;e\r\nT: u\r\nV: "
-  "w\r\n\r\n",
+  kChunkedRequest + "0\r\n\r\n",
+  kChunkedRequest + "0000\r\n\r\n",
+  kChunkedRequest +
+    "1\r\nX\r\n4;e=f\r\n\r\n\r\n\r\na\r\n0123456789\r\n0;e\r\nT: u\r\nV: "
+    "w\r\n\r\n",
   "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nPUT /2 HTTP/1.1\r\nHost: h\r\n"
   "Content-Length: 1\r\n\r\nXGET /3 HTTP/1.1\r\nHost: h\r\n\r\n",
 };
@@ -209,9 +214,8 @@
   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nab",
   "HTTP/1.1 200 OK\r\n\r\nabc\r\n",
   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
-  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-  "3\r\nabc\r\n1\r\n\n\r\n0\r\nT: u\r\n\r\n",
+  kChunkedResponse + "0\r\n\r\n",
+  kChunkedResponse + "3\r\nabc\r\n1\r\n\n\r\n0\r\nT: u\r\n\r\n",
 };
 
 const std::vector<std::string> kMalformedRequests = {
