--- a/packages/http/src/HttpClientConnection.cpp
+++ b/packages/http/src/HttpClientConnection.cpp
@@ -322,6 +322,7 @@
     case ReadState::NeedsMore:
       return step.mConsumed > 0;
     case ReadState::HeadTooLong:
+    case ReadState::UnknownCoding:
     case ReadState::Malformed:
       Fail(mHasHead ? FailureKind::Truncated : FailureKind::Malformed);
       return false;
--- a/packages/http/src/HttpServerConnection.cpp
+++ b/packages/http/src/HttpServerConnection.cpp
@@ -299,6 +299,9 @@
         RefuseBody(431, "the request trailer is too long");
       }
       return false;
+    case ReadState::UnknownCoding:
+      RefuseHead(501, "the transfer coding is not known");
+      return false;
     case ReadState::Malformed:
       if (mIsReadingHead) {
         RefuseHead(400, "malformed request head");
--- a/packages/http/src/MessageReader.cpp
+++ b/packages/http/src/MessageReader.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/error.hpp>
 #include <cctype>
 #include <limits>
+#include <utility>
 
 namespace auburnmux::http::internal {
 
@@ -30,11 +31,25 @@
  */
 constexpr std::size_t kLastChunkBytes = std::string_view("0\r\n\r\n").size();
 
+// The first version of HTTP with transfer codings.
+constexpr int kFirstVersionWithCodings = 11;
+
 // Responses with another status are malformed. Those below the final ones are
 // interim responses.
 constexpr int kMinStatus = 100;
 constexpr int kMaxStatus = 599;
 
+/** \returns whether chunks are the last of the codings in \a aValue. */
+bool EndsInChunked(std::string_view aValue)
+{
+  const std::size_t comma = aValue.rfind(',');
+  const std::size_t start = aValue.find_first_not_of(
+    " \t", comma == std::string_view::npos ? 0 : comma + 1);
+  return start != std::string_view::npos &&
+         beast::iequals({ aValue.data() + start, aValue.size() - start },
+                        "chunked");
+}
+
 /** Stores the head of one message and passes its body to a BodySink. */
 template<bool IsRequest>
 class CollectingParser : public basic_parser<IsRequest>
@@ -102,11 +117,34 @@
                     mayHaveLastChunk ? kLastChunkBytes : std::size_t{ 0 });
   }
 
+  /**
+   * Refuses bodies whose length the parser doesn't know, or whose coding would
+   * be lost: chunks are the only coding that is removed here (RFC 9112, 6.1 and
+   * 6.3). A message that names another one would end behind its head, and its
+   * body would be taken for the next message.
+   */
+  void CheckTransferCoding(beast::string_view aValue, ErrorCode& aError)
+  {
+    const std::string_view value(aValue.data(), aValue.size());
+    const bool isChunked = beast::iequals(aValue, "chunked");
+    const bool isRepeated = std::exchange(mHasTransferCoding, true);
+    if (isChunked && !isRepeated && mVersion >= kFirstVersionWithCodings) {
+      return;
+    }
+    aError = beast::http::error::bad_transfer_encoding;
+    // With the chunks last, the length would be known, but not the content.
+    mHasUnknownCoding = !isRepeated && mVersion >= kFirstVersionWithCodings &&
+                        EndsInChunked(value);
+  }
+
   ReadState StateAfter(const ErrorCode& aError, bool aHadHead) const
   {
     if (aError == beast::http::error::header_limit) {
       return ReadState::HeadTooLong;
     }
+    if (aError && mHasUnknownCoding) {
+      return ReadState::UnknownCoding;
+    }
     if (aError && aError != beast::http::error::need_more) {
       return ReadState::Malformed;
     }
@@ -118,23 +156,28 @@
 
   // The names below are Beast's. NOLINTBEGIN(readability-identifier-naming)
   void on_request_impl(beast::http::verb /*aVerb*/, beast::string_view aMethod,
-                       beast::string_view aTarget, int /*aVersion*/,
+                       beast::string_view aTarget, int aVersion,
                        ErrorCode& /*aError*/) override
   {
+    mVersion = aVersion;
     mMethod.assign(aMethod.data(), aMethod.size());
     mTarget.assign(aTarget.data(), aTarget.size());
   }
-  void on_response_impl(int aCode, beast::string_view /*aReason*/,
-                        int /*aVersion*/, ErrorCode& aError) override
+  void on_response_impl(int aCode, beast::string_view /*aReason*/, int aVersion,
+                        ErrorCode& aError) override
   {
+    mVersion = aVersion;
     mStatus = aCode;
     if (aCode < kMinStatus || aCode > kMaxStatus) {
       aError = beast::http::error::bad_status;
     }
   }
-  void on_field_impl(beast::http::field /*aField*/, beast::string_view aName,
-                     beast::string_view aValue, ErrorCode& /*aError*/) override
+  void on_field_impl(beast::http::field aField, beast::string_view aName,
+                     beast::string_view aValue, ErrorCode& aError) override
   {
+    if (aField == beast::http::field::transfer_encoding) {
+      CheckTransferCoding(aValue, aError);
+    }
     mHeaders.Append(ToLower(aName), { aValue.data(), aValue.size() });
   }
   void on_header_impl(ErrorCode& /*aError*/) override {}
@@ -162,6 +205,9 @@
   void on_finish_impl(ErrorCode& /*aError*/) override {}
   // NOLINTEND(readability-identifier-naming)
 
+  int mVersion = 0;
+  bool mHasTransferCoding = false;
+  bool mHasUnknownCoding = false;
   base::ByteCount mMaxHead;
   /** Size below which the parser would not consume any of the next input. */
   std::size_t mMinInput = 0;
--- a/packages/http/src/MessageReader.h
+++ b/packages/http/src/MessageReader.h
@@ -20,6 +20,8 @@
   Complete,
   /** The head is longer than allowed. */
   HeadTooLong,
+  /** The body has a transfer coding other than chunks. */
+  UnknownCoding,
   Malformed
 };
 
--- a/packages/http/src/ServerExchangeImpl.cpp
+++ b/packages/http/src/ServerExchangeImpl.cpp
@@ -37,6 +37,8 @@
       return "Too Many Requests";
     case 431:
       return "Request Header Fields Too Large";
+    case 501:
+      return "Not Implemented";
     case 502:
       return "Bad Gateway";
     case 503:
--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -658,6 +658,8 @@
     { kPost + "Content-Length: 3x\r\n\r\nabc", "400" },
     { kPost + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
       "400" },
+    { kPost + "Transfer-Encoding: gzip\r\n\r\n" + kPost + "\r\n", "400" },
+    { kPost + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "501" },
     { kPost + "X: " + std::string(20000, 'x') + "\r\n\r\n", "431" },
     { "GET /x HTTP/1.1\r\n\r\n", "400" }
   };
--- a/packages/http/test/MessageReaderTest.cpp
+++ b/packages/http/test/MessageReaderTest.cpp
@@ -70,15 +70,22 @@
         mHasMessage = false;
         return true;
       case ReadState::HeadTooLong:
+        return Fail("[too long]");
+      case ReadState::UnknownCoding:
+        return Fail("[unknown coding]");
       case ReadState::Malformed:
-        mEvents +=
-          step.mState == ReadState::HeadTooLong ? "[too long]" : "[malformed]";
-        mHasFailed = true;
-        return false;
+        return Fail("[malformed]");
     }
     return false;
   }
 
+  bool Fail(const char* aEvent)
+  {
+    mEvents += aEvent;
+    mHasFailed = true;
+    return false;
+  }
+
   std::string mInput;
   std::string mEvents;
   bool mHasMessage = false;
@@ -226,6 +233,22 @@
   "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n\r\n",
 };
 
+/** Transfer codings and what is made of a request with them. */
+const std::vector<std::pair<std::string, std::string>> kCodings = {
+  { "Transfer-Encoding: gzip", "[malformed]" },
+  { "Transfer-Encoding: identity", "[malformed]" },
+  { "Transfer-Encoding: xchunked", "[malformed]" },
+  { "Transfer-Encoding: chunked, gzip", "[malformed]" },
+  { "Transfer-Encoding: chunked, chunked", "[unknown coding]" },
+  { "Transfer-Encoding: gzip, chunked", "[unknown coding]" },
+  { "Transfer-Encoding:", "[malformed]" },
+  { "Transfer-Encoding: chunked;q=1", "[malformed]" },
+  { "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked", "[malformed]" },
+  { "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip", "[malformed]" },
+  { "Transfer-Encoding: gzip\r\nContent-Length: 5", "[malformed]" },
+  { "Content-Length: 5\r\nTransfer-Encoding: gzip", "[malformed]" },
+};
+
 } // namespace
 
 TEST_GROUP(MessageReader){};
@@ -256,3 +279,28 @@
     CheckPrefixes<ResponseRecorder>(it);
   }
 }
+
+// Guards against a body of unknown length that is taken for the next message
+// (third review, case 15).
+TEST(MessageReader, BodiesOfUnknownCodingAreRefused)
+{
+  for (const auto& [fields, expected] : kCodings) {
+    const std::string request = "POST /a HTTP/1.1\r\nHost: h\r\n" + fields +
+                                "\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string response =
+      "HTTP/1.1 200 OK\r\n" + fields + "\r\n\r\nHTTP/1.1 200 OK\r\n\r\n";
+    STRCMP_EQUAL_TEXT(expected.c_str(),
+                      EventsOf<RequestRecorder>({ request }).c_str(),
+                      fields.c_str());
+    STRCMP_EQUAL_TEXT(expected.c_str(),
+                      EventsOf<ResponseRecorder>({ response }).c_str(),
+                      fields.c_str());
+    CheckCuts<RequestRecorder>(request);
+    CheckCuts<ResponseRecorder>(response);
+  }
+  STRCMP_EQUAL("[malformed]",
+               EventsOf<RequestRecorder>(
+                 { "POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "0\r\n\r\n" })
+                 .c_str());
+}
