--- a/packages/entry/src/Attempt.cpp
+++ b/packages/entry/src/Attempt.cpp
@@ -4,6 +4,14 @@
 
 namespace auburnmux::entry {
 
+namespace {
+
+/** Time in which what the kernel holds of a response is read before the
+ * response is streamed. */
+constexpr base::Duration kCatchUpTime = std::chrono::milliseconds(10);
+
+} // namespace
+
 Attempt::Attempt(Services& aServices, std::weak_ptr<AttemptObserver> aObserver,
                  const placing::Placed& aPlace)
   : mServices(aServices)
@@ -138,8 +146,38 @@
   }
   mBody += aPart;
   mHolding.Set(mBody.size());
-  if (mBody.size() > mServices.ExchangeBound().Count()) {
-    mIsStreaming = true;
+  const std::size_t bound = mServices.ExchangeBound().Count();
+  if (mBody.size() <= bound) {
+    return;
+  }
+  if (!observer->MayStream()) {
+    mIsHeld = true;
+    mExchange->PauseReading(true);
+  } else if (!mIsCatchingUp || mBody.size() > 2 * bound) {
+    BeginStreaming();
+  }
+}
+
+void Attempt::HandleTurn()
+{
+  if (!std::exchange(mIsHeld, false)) {
+    return;
+  }
+  mIsCatchingUp = true;
+  mExchange->PauseReading(false);
+  mServices.mLoop.After(kCatchUpTime, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && self->mIsCatchingUp) {
+      self->BeginStreaming();
+    }
+  });
+}
+
+void Attempt::BeginStreaming()
+{
+  mIsCatchingUp = false;
+  mIsStreaming = true;
+  if (const auto observer = mObserver.lock()) {
     observer->OnAttemptStreaming();
   }
 }
--- a/packages/entry/src/Attempt.h
+++ b/packages/entry/src/Attempt.h
@@ -16,6 +16,8 @@
 {
 public:
   virtual ~AttemptObserver() = default;
+  /** \returns whether a part of the response may be passed on now. */
+  virtual bool MayStream() const = 0;
   /** The response is complete and was buffered whole. */
   virtual void OnAttemptResponse() = 0;
   /** The response exceeds the buffer limit. Its head and the buffered part of
@@ -44,6 +46,12 @@
   void Start(const http::ClientRequest& aRequest);
   /** Cancels the attempt; no event follows. */
   void Cancel();
+  /**
+   * A response beyond the buffer limit may be streamed from now on. What has
+   * arrived is read first, so that a response that was cut while it waited
+   * fails before a part of it is passed on.
+   */
+  void HandleTurn();
 
   const placing::Placed& Place() const { return mPlace; }
   http::ClientExchange& Exchange() { return *mExchange; }
@@ -80,6 +88,7 @@
   {
     return mClassification && mClassification->mIsNotRun;
   }
+  void BeginStreaming();
   /** Ends the attempt before the rest of a rejection's body has arrived. */
   void EndRejection();
   /** Fails the attempt, as its response shows no outcome of the request. */
@@ -107,6 +116,10 @@
   std::size_t mDroppedBytes = 0;
   bool mHasHead = false;
   bool mIsStreaming = false;
+  /** Whether reading is paused until the response may be streamed. */
+  bool mIsHeld = false;
+  /** Whether what arrived meanwhile is being read. */
+  bool mIsCatchingUp = false;
 };
 
 } // namespace auburnmux::entry
--- a/packages/entry/src/RequestForwarder.cpp
+++ b/packages/entry/src/RequestForwarder.cpp
@@ -24,6 +24,7 @@
   void OnBody(std::string_view aPart) override { mForwarder->OnBody(aPart); }
   void OnBodyEnd() override { mForwarder->OnBodyEnd(); }
   void OnWritable() override { mForwarder->OnWritable(); }
+  void OnTurn() override { mForwarder->OnTurn(); }
   void OnResponseDue() override { mForwarder->OnResponseDue(); }
   void OnClosed(bool aIsComplete) override
   {
--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -55,6 +55,7 @@
   void OnBody(std::string_view aPart);
   void OnBodyEnd();
   void OnWritable();
+  void OnTurn();
   void OnResponseDue();
   void OnClosed(bool aIsComplete);
 
@@ -71,6 +72,7 @@
   void LogCut() const;
 
   // Events of the attempt.
+  bool MayStream() const override { return mExchange->HasTurn(); }
   void OnAttemptResponse() override;
   void OnAttemptStreaming() override;
   void OnAttemptBody(std::string_view aPart) override;
--- a/packages/entry/src/RequestForwarderAttempts.cpp
+++ b/packages/entry/src/RequestForwarderAttempts.cpp
@@ -228,6 +228,13 @@
   }
 }
 
+void RequestForwarder::OnTurn()
+{
+  if (mIsAttemptOpen) {
+    mAttempt->HandleTurn();
+  }
+}
+
 void RequestForwarder::OnAttemptWritable()
 {
   if (mBody.HasAttempt()) {
--- a/packages/http/src/Server.h
+++ b/packages/http/src/Server.h
@@ -45,6 +45,9 @@
   virtual void OnBodyEnd() = 0;
   /** All data passed to SendBody() was written to the socket. */
   virtual void OnWritable() {}
+  /** The earlier requests of the connection were answered, see
+   * ServerExchange::HasTurn(). */
+  virtual void OnTurn() {}
   /** The response, of which nothing was sent yet, is needed now: the server is
    * about to end, and later ones can't be delivered. */
   virtual void OnResponseDue() {}
@@ -65,6 +68,9 @@
   /** \returns whether the exchange has ended; sends are then ignored. */
   virtual bool IsClosed() const = 0;
   virtual bool IsHeadSent() const = 0;
+  /** \returns whether the response goes to the client as it is sent. Before, it
+   * waits until the earlier requests of the connection are answered. */
+  virtual bool HasTurn() const = 0;
   /** \returns the number of queued bytes not yet written to the socket,
    * including those of earlier responses of the connection. */
   virtual base::ByteCount PendingBytes() const = 0;
--- a/packages/http/src/ServerExchangeImpl.cpp
+++ b/packages/http/src/ServerExchangeImpl.cpp
@@ -161,6 +161,9 @@
   const std::string waiting = std::exchange(mWaiting, {});
   mWaitingAccount.Set(0);
   mConnection->Queue(waiting);
+  if (mObserver) {
+    mObserver->OnTurn();
+  }
 }
 
 void ServerExchangeImpl::SendContinue()
--- a/packages/http/src/ServerExchangeImpl.h
+++ b/packages/http/src/ServerExchangeImpl.h
@@ -21,6 +21,7 @@
   const RequestHead& Head() const override { return mHead; }
   bool IsClosed() const override { return mConnection == nullptr; }
   bool IsHeadSent() const override { return mIsHeadSent; }
+  bool HasTurn() const override { return mHasTurn; }
   base::ByteCount PendingBytes() const override;
   void Observe(std::unique_ptr<RequestObserver> aObserver) override;
   void PauseReading(bool aIsPaused) override;
