Count crashes of repeats that begin as the first attempt ends

Cause: of attempts that overlap only one counts, as upstreams that crash together have copies in flight. The client's repeat begins as its first attempt ends, and the times in the reports of two hosts overlapped by a fraction of a millisecond.

Evidence: the hosts' logs name the lookup for the first crash of each pair only.

Change: where a host had ended one of two attempts, only the times of the crashes tell whether they are one event. Attempts are ordered by these times.

Test: CancelledAttempt.RepeatAtTheEndOfAnAttemptCountsAsWell failed before.

--- a/packages/retries/src/CrashQuarantine.cpp
+++ b/packages/retries/src/CrashQuarantine.cpp
@@ -12,17 +12,19 @@
 /** Maximum number of attempts of a request that are kept. */
 constexpr std::size_t kMaxAttempts = 16;
 
-/** Crashes within this time are attributed to one cause if the request's
- * attempt had ended before. */
+/** Crashes within this time are attributed to one cause if a host had ended one
+ * of the attempts before. */
 constexpr base::Duration kCommonCause = std::chrono::milliseconds(250);
 
-/** \returns whether \a aNext is evidence of its own beside \a aLast. */
+/** \returns whether \a aNext is evidence of its own beside \a aLast. The times
+ * of attempts that a host ended don't tell: their clients repeat them at once.
+ */
 bool IsIndependent(const CrashedAttempt& aLast, const CrashedAttempt& aNext)
 {
-  const bool hadEnded = aLast.mCrashDelay > base::Duration::zero();
-  return aNext.mSent >= aLast.mBroken &&
-         (!hadEnded || std::chrono::abs(aNext.CrashTime() - aLast.CrashTime()) >
-                         kCommonCause);
+  const bool wasEnded = aLast.mCrashDelay > base::Duration::zero() ||
+                        aNext.mCrashDelay > base::Duration::zero();
+  return wasEnded ? aNext.CrashTime() - aLast.CrashTime() > kCommonCause
+                  : aNext.mSent >= aLast.mBroken;
 }
 
 } // namespace
@@ -91,7 +93,7 @@
   }
   std::stable_sort(all.begin(), all.end(),
                    [](const CrashedAttempt& aA, const CrashedAttempt& aB) {
-                     return aA.mBroken < aB.mBroken;
+                     return aA.CrashTime() < aB.CrashTime();
                    });
   // Taking each attempt that was sent after the last one taken had ended gives
   // the longest sequence without overlaps.
--- a/packages/retries/src/CrashQuarantine.h
+++ b/packages/retries/src/CrashQuarantine.h
@@ -65,9 +65,9 @@
  * flight at the upstream, including harmless ones. A fingerprint that succeeds
  * later is therefore cleared unless it is already refused, and of attempts that
  * overlapped in time only one counts: upstreams that crash together, for
- * another reason, have copies of any frequent request in flight. The same holds
- * for attempts that this side had ended before, if their upstreams crashed at
- * the same time. Such attempts have no response that would clear the request;
+ * another reason, have copies of any frequent request in flight. Where this
+ * side had ended an attempt before, those of crashes at the same time count
+ * once instead. Such attempts have no response that would clear the request;
  * instead, crashes count only if they are more frequent among the attempts than
  * upstreams that went on running allow.
  */
--- a/packages/retries/test/CancelledAttemptTest.cpp
+++ b/packages/retries/test/CancelledAttemptTest.cpp
@@ -280,6 +280,22 @@
   CHECK_TRUE(guard.MayRetryAfterBreak(At(3000), Fingerprint(7)));
 }
 
+// Guards against counting only one of two crashes because the client sent the
+// request again as its first attempt ended, which two hosts see in either
+// order.
+TEST(CancelledAttempt, RepeatAtTheEndOfAnAttemptCountsAsWell)
+{
+  CrashGuard guard(QuarantineSettings{ 2 });
+  for (int i = 0; i < 2; ++i) {
+    const UpstreamId upstream("u" + std::to_string(i));
+    guard.OnCancelled(At(299 * i + 300), Fingerprint(7),
+                      { upstream, At(299 * i), At(299 * i + 300) }, At(800));
+  }
+  guard.OnRefusedConnection(At(1000), UpstreamId("u0"));
+  guard.OnRefusedConnection(At(1299), UpstreamId("u1"));
+  CHECK_TRUE(guard.IsRefused(At(1300), Fingerprint(7)));
+}
+
 // Guards against evidence that outlives the time in which the upstream can have
 // been running the request.
 TEST(CancelledAttempt, LaterCrashesAreNoEvidence)
