daemon: count each broken connection as a crash again

Cause: made daemon ask for the evidence of entry, a refused connection after the broken one. The probe of an upstream that is going down can still be accepted; the crash then isn't counted, and the next attempt reaches a third upstream. Before, daemon counted each broken connection at once.

Change: it does so again (CrashWatch::OnCrash). Attempts that it ended itself still need the evidence. entry is unchanged.

The failure was seen once, and the cause is read from the code and the stand-in, which closes its connections before its listener.

--- a/packages/crashes/src/CrashWatch.cpp
+++ b/packages/crashes/src/CrashWatch.cpp
@@ -51,6 +51,14 @@
   }
 }
 
+void CrashWatch::OnCrash(retries::Fingerprint aFingerprint,
+                         const retries::CrashedAttempt& aAttempt)
+{
+  if (const auto record = mGuard.OnCrash(mLoop.Now(), aFingerprint, aAttempt)) {
+    Report(aAttempt.mUpstream, *record);
+  }
+}
+
 void CrashWatch::OnCancelled(retries::Fingerprint aFingerprint,
                              const retries::CrashedAttempt& aAttempt,
                              base::TimePoint aDeadline)
@@ -129,14 +137,20 @@
   }
   for (const retries::CrashRecord& it :
        mGuard.OnRefusedConnection(mLoop.Now(), aUpstream)) {
-    base::LogWarning(base::LogLine("upstream_crash")
-                       .With("upstream", aUpstream)
-                       .With("fingerprint", it.mFingerprint)
-                       .With("crashes", it.mAttempts.size()));
-    mReporter(it);
+    Report(aUpstream, it);
   }
 }
 
+void CrashWatch::Report(const base::UpstreamId& aUpstream,
+                        const retries::CrashRecord& aRecord)
+{
+  base::LogWarning(base::LogLine("upstream_crash")
+                     .With("upstream", aUpstream)
+                     .With("fingerprint", aRecord.mFingerprint)
+                     .With("crashes", aRecord.mAttempts.size()));
+  mReporter(aRecord);
+}
+
 void CrashWatch::OnSuccess(retries::Fingerprint aFingerprint)
 {
   mGuard.OnSuccess(mLoop.Now(), aFingerprint);
--- a/packages/crashes/src/CrashWatch.h
+++ b/packages/crashes/src/CrashWatch.h
@@ -42,6 +42,9 @@
   /** The connection of an attempt broke before the response was complete. */
   void OnBroken(retries::Fingerprint aFingerprint,
                 const retries::CrashedAttempt& aAttempt);
+  /** Same, where a broken connection alone counts as a crash. */
+  void OnCrash(retries::Fingerprint aFingerprint,
+               const retries::CrashedAttempt& aAttempt);
   /** This host ended an attempt after the request was sent, and the upstream
    * may run it until \a aDeadline or longer. */
   void OnCancelled(retries::Fingerprint aFingerprint,
@@ -61,6 +64,8 @@
   bool MayRetryAfterBreak(retries::Fingerprint aFingerprint) const;
 
 private:
+  void Report(const base::UpstreamId& aUpstream,
+              const retries::CrashRecord& aRecord);
   void OnTick();
   /** The server closed an idle connection. */
   void OnIdleClosed(const http::Endpoint& aEndpoint);
--- a/packages/daemon/src/RequestForwarder.h
+++ b/packages/daemon/src/RequestForwarder.h
@@ -169,8 +169,6 @@
   bool mIsAnswered = false;
   bool mIsFinished = false;
   bool mMayHaveRun = false;
-  /** Whether the connection of an attempt broke while it was in flight. */
-  bool mHasBroken = false;
   bool mHasSucceeded = false;
 };
 
--- a/packages/daemon/src/RequestForwarderAttempts.cpp
+++ b/packages/daemon/src/RequestForwarderAttempts.cpp
@@ -252,8 +252,7 @@
   const bool isCrash = aKind == base::FailureKind::Reset && aMayHaveReached &&
                        !aAttempt.HasHead() && upstream != nullptr;
   if (isCrash) {
-    mHasBroken = true;
-    mService.Dependencies().mCrashes.OnBroken(
+    mService.Dependencies().mCrashes.OnCrash(
       mFingerprint,
       { *upstream, aAttempt.StartTime(), mService.Context().mLoop.Now() });
   }
@@ -278,10 +277,8 @@
   failed.mWork = mPlan.mKind;
   failed.mBytesMayHaveArrived = aMayHaveReached;
   failed.mOtherMayHaveRun = mMayHaveRun;
-  const crashes::CrashWatch& crashes = mService.Dependencies().mCrashes;
   failed.mQuarantined =
-    crashes.IsRefused(mFingerprint) ||
-    (mHasBroken && !crashes.MayRetryAfterBreak(mFingerprint));
+    mService.Dependencies().mCrashes.IsRefused(mFingerprint);
   failed.mForwarded = mPlan.mGrant.has_value();
   failed.mAttempts = mAttemptCount;
   failed.mRemaining = mPlan.mDeadline - now;
--- a/packages/retries/src/CrashGuard.h
+++ b/packages/retries/src/CrashGuard.h
@@ -24,6 +24,14 @@
    * complete. \returns whether to probe the upstream with a connection */
   bool OnBroken(base::TimePoint aNow, Fingerprint aFingerprint,
                 const CrashedAttempt& aAttempt);
+  /** An upstream crashed as it ran the request, without further evidence.
+   * \returns the record to send to peers; none when the crash does not count */
+  std::optional<CrashRecord> OnCrash(base::TimePoint aNow,
+                                     Fingerprint aFingerprint,
+                                     const CrashedAttempt& aAttempt)
+  {
+    return mQuarantine.OnCrash(aNow, aFingerprint, aAttempt);
+  }
   /** This side ended an attempt after the request was sent, and the upstream
    * may run it until \a aDeadline or longer. */
   void OnCancelled(base::TimePoint aNow, Fingerprint aFingerprint,
